Rehearse all requests before listening, not only for half a second

A trace of each request through the sidecar showed the busy one serving some 230 requests a second in its seconds 2 and 3 while about 500 came; by second 4 all 443 that it read had been left by their clients within a millisecond of being read, each of them after a new connection to an upstream had been begun for it (442 of 443). Per-thread CPU time showed why: in those seconds a third of the sidecar's 0.42 cores went to the C1 compiler and the event loop still ran interpreted; from second 8 on the same 0.42 cores served 1,100 requests a second with half of the compiler's time gone. The rehearsal, which is there to have the code compiled before the listener opens, is planned for 1,200 requests. It stopped after 500 ms of wall time, and on 0.42 cores the log had some 30 requests by then.

Ruled out: the class archive (1,699 classes come from it, and it is mapped), collections (the VM thread had under 2% of the time), descriptors (208 of 1,024), upstreams (the twin attempts took 22 ms), discovery (the list stood before the first request).

At fault: Rehearsal.LONGEST_MS. It is 10 s now, still under the 30 s after which clients come unasked.

--- a/src/main/java/umberkeel/node/Rehearsal.java
+++ b/src/main/java/umberkeel/node/Rehearsal.java
@@ -20,10 +20,13 @@
 public final class Rehearsal {
 
     private static final System.Logger LOG = System.getLogger("umberkeel");
-    private static final int REQUESTS = 1200;
+    static final int REQUESTS = 1200;
     private static final int ON_EACH = 20; // connection
-    /** It is a help, and not worth a late start. */
-    private static final long LONGEST_MS = 500;
+    /**
+     * It is a help, and not worth a start without end. But a part of a core takes seconds for all of it, and what is
+     * not compiled by then is compiled while clients wait, at less than half the rate that they ask at.
+     */
+    private static final long LONGEST_MS = 10_000;
     private static final String CONFIG = """
             {"listen":"127.0.0.1:0","discovery":"%1$s","seed":"1","limits":{"sockets":1024},
              "known":{"revision":1,"complete":true,"members":[{"id":"u","host_port":"%1$s","phase":"active"}]},
@@ -47,42 +50,50 @@
     }
 
     public static void main() throws IOException, InterruptedException, Config.BadConfigException {
+        rehearse(0);
+    }
+
+    /** With an upstream that takes this long for each answer; returns how many requests have been answered. */
+    static int rehearse(long upstreamMs) throws IOException, InterruptedException, Config.BadConfigException {
         try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Thread accepting = new Thread(() -> accept(others));
+            Thread accepting = new Thread(() -> accept(others, upstreamMs));
             accepting.setDaemon(true);
             accepting.start();
             String address = others.getInetAddress().getHostAddress() + ":" + others.getLocalPort();
             Sidecar sidecar = Sidecar.start(Config.of(Config.JSON.readTree(CONFIG.formatted(address))));
-            ask((InetSocketAddress) sidecar.address());
+            int answered = ask((InetSocketAddress) sidecar.address());
             sidecar.halt();
+            return answered;
         }
     }
 
-    private static void ask(InetSocketAddress address) throws IOException {
+    private static int ask(InetSocketAddress address) throws IOException {
         String read = "GET /read HTTP/1.1\r\nX-Txn: %016x\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n";
         String write = "POST /write HTTP/1.1\r\nX-Txn: %016x\r\nX-Lane: write\r\nX-Remaining-Ms: 3000\r\n"
                 + "Content-Length: 4\r\n\r\nbody";
         String unheardOf = "GET /unheard-of HTTP/1.1\r\nX-Txn: %016x\r\n\r\n";
         List<String> requests = List.of(read, write, read, unheardOf);
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_MS);
-        for (int i = 0; i < REQUESTS && System.nanoTime() < untilNanos; i += ON_EACH) {
+        int answered = 0;
+        while (answered < REQUESTS && System.nanoTime() < untilNanos) {
             try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
                 socket.setSoTimeout((int) LONGEST_MS);
                 BufferedReader in = reader(socket);
-                for (int number = i; number < i + ON_EACH; number++) {
-                    write(socket, requests.get(number % requests.size()).formatted(number));
+                for (int last = answered + ON_EACH; answered < last; answered++) {
+                    write(socket, requests.get(answered % requests.size()).formatted(answered));
                     readHead(in);
                 }
             }
         }
+        return answered;
     }
 
     /** Plays the upstream and discovery, by what is asked for. */
-    private static void accept(ServerSocket others) {
+    private static void accept(ServerSocket others, long upstreamMs) {
         try {
             while (true) {
                 Socket socket = others.accept();
-                Thread serving = new Thread(() -> serve(socket));
+                Thread serving = new Thread(() -> serve(socket, upstreamMs));
                 serving.setDaemon(true);
                 serving.start();
             }
@@ -91,15 +102,18 @@
         }
     }
 
-    private static void serve(Socket socket) {
+    private static void serve(Socket socket, long upstreamMs) {
         try (socket; BufferedReader in = reader(socket)) {
             for (String first = readHead(in); first != null; first = readHead(in)) {
+                Thread.sleep(upstreamMs);
                 write(socket, first.contains("watch") ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + Integer.toHexString(LIST.length()) + "\r\n" + LIST + "\r\n"
                         : "HTTP/1.1 200 OK\r\nX-Pressure: cpu=0.5\r\nContent-Length: 0\r\n\r\n");
             }
         } catch (IOException e) {
             // The sidecar has ended.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
