Set a server aside for one class alone where it fails only that class

Each attempt traced: five of ten upstreams turned away 498 attempts, all of them shift-swap, mostly 40 ms after the send, and served every visit-checkin in between. The same five were drawn again and again for shift-swap: 121 and 114 requests were served only at the second attempt, 70 were refused after one to three, all turned away. A line a tick from the module showed the sum of its windows going from 47 to 15 meanwhile.

At fault: the streak of failures that sets a server aside is counted for the server as a whole, so that each visit-checkin served in between began it anew; a server that fails one class could only be left for all or for none. The streak is now also kept for each class, and three in a row set the server aside for that class, with the same trials as before (Trials holds both). The shares and the draw stay as they are: as any departure, this one only takes members out, and never most of them.

Ruled out: the network code (the answers are read as the protocol has them, and the next attempt goes out within a millisecond), queues at the servers (visit-checkin stays at its usual latency), discovery.

--- a/src/main/java/umberkeel/Host.java
+++ b/src/main/java/umberkeel/Host.java
@@ -1,6 +1,8 @@
 package umberkeel;
 
 import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
 
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
 final class Host {
@@ -31,11 +33,11 @@
     /** Quiet latencies that a request sent at the latest report would take, and when that was. */
     double load;
     double reportMs = Double.NEGATIVE_INFINITY;
-    int failures;
     /** Why it is set aside; null while it is not. */
     String setAside;
-    double trialAtMs;
-    double trialGapMs;
+    /** Of it as a whole, and of the classes that have been sent to it. */
+    final Trials trials = new Trials();
+    private final Map<ClassView, Trials> classTrials = new HashMap<>();
     final TokenBucket coldRoom = new TokenBucket();
 
     Host(Balancer.Upstream listed) {
@@ -43,6 +45,10 @@
         this.listed = listed;
     }
 
+    Trials trials(ClassView view) {
+        return classTrials.computeIfAbsent(view, unused -> new Trials());
+    }
+
     /** Notes a report. */
     void report(double nowMs, double requestLoad) {
         load = requestLoad;
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -155,12 +155,13 @@
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
     private Host pick(double nowMs, Call call) {
-        boolean avoid = 2 * members.stream().filter(host -> avoided(nowMs, host)).count() <= members.size();
+        long faulty = members.stream().filter(host -> avoided(nowMs, call, host)).count();
+        boolean avoid = 2 * faulty <= members.size();
         Host drawn = null; // each replaces the one before with its part of the sum so far: a draw by weight
         double sum = 0;
         for (Host host : members) {
             boolean tried = call.attempts.size() < members.size() && call.tried(host);
-            boolean apart = tried || avoid && avoided(nowMs, host);
+            boolean apart = tried || avoid && avoided(nowMs, call, host);
             if (!apart && fit(nowMs, call, host)) {
                 double weight = host.share * warmth(nowMs, host);
                 sum += weight;
@@ -178,7 +179,8 @@
         extra -= call.attempts.isEmpty() ? 0 : 1;
         sent++;
         call.begin(host, nowMs);
-        noteTrial(nowMs, host);
+        host.trials.note(nowMs);
+        host.trials(call.view).note(nowMs);
         actions.send(call.id, host.id, call.usefulUntilMs - nowMs);
     }
 
@@ -304,6 +306,7 @@
         ClassView view = attempt.call.view;
         if (how == Outcome.OK) {
             answered(nowMs, host);
+            servedAgain(host, view);
             view.answers++;
             view.served++;
             attempt.call.served = true;
@@ -320,8 +323,8 @@
             }
             // That a client has little patience says nothing against an upstream.
             boolean impatient = how == Outcome.TIMEOUT && latencyMs < BARELY * view.typicalMs;
-            if (!impatient && ++host.failures >= STREAK) {
-                setAside(nowMs, host, "it failed " + host.failures + " times in a row");
+            if (!impatient) {
+                noteFailure(nowMs, host, view);
             }
         }
         inTime.count(how == Outcome.OK && latencyMs <= view.spec.aimMs());
@@ -489,7 +492,7 @@
         for (Call call : ready) {
             Host host = call.asked;
             boolean heard = host.ready() && nowMs - host.reportMs <= settings.tickMs();
-            if (heard && !avoided(nowMs, host) && fit(nowMs, call, host)) {
+            if (heard && !avoided(nowMs, call, host) && fit(nowMs, call, host)) {
                 send(nowMs, call, host);
             } else {
                 place(nowMs, call);
@@ -573,19 +576,42 @@
 
     // ---- Set-asides. Guards against servers that are silent (hung, paused, out of reach) or fail. Acts on
     // silence of the attempts out, or on failures in a row; they return by an answer, to ever rarer trials.
+    // A server may fail one class and serve the others: it is then set aside for that class alone.
 
     private void setAside(double nowMs, Host host, String why) {
         if (host.setAside == null) {
             host.setAside = why;
             actions.log(host + " is set aside, " + why + "; trying it now and then");
-            host.trialGapMs = TICK_MS / 4;
-            noteTrial(nowMs, host);
+            host.trials.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
+        }
+    }
+
+    private void noteFailure(double nowMs, Host host, ClassView view) {
+        host.trials.failures++;
+        Trials ofClass = host.trials(view);
+        ofClass.failures++;
+        if (host.trials.failures >= STREAK) {
+            setAside(nowMs, host, "it failed " + host.trials.failures + " times in a row");
+        } else if (host.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
+            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed "
+                    + ofClass.failures + " times in a row; trying it now and then");
+            ofClass.apart = true;
+            ofClass.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
+        }
+    }
+
+    private void servedAgain(Host host, ClassView view) {
+        Trials ofClass = host.trials(view);
+        ofClass.failures = 0;
+        if (ofClass.apart) {
+            ofClass.apart = false;
+            actions.log(host + " serves " + view.spec.name() + " again");
         }
     }
 
     private void answered(double nowMs, Host host) {
         host.heardMs = nowMs;
-        host.failures = 0;
+        host.trials.failures = 0;
         if (host.setAside != null) {
             actions.log(host + " answers again and is back in the draw");
             host.share = Math.max(host.share, 1.0 / members.size()); // else a cut share hardly climbs back
@@ -593,19 +619,15 @@
         host.setAside = null;
     }
 
-    private boolean avoided(double nowMs, Host host) {
-        return host.setAside != null && nowMs < host.trialAtMs;
-    }
-
-    private void noteTrial(double nowMs, Host host) {
-        host.trialGapMs = Math.min(2 * host.trialGapMs, 4 * TICK_MS);
-        host.trialAtMs = nowMs + host.trialGapMs;
+    private static boolean avoided(double nowMs, Call call, Host host) {
+        Trials ofClass = host.trials(call.view);
+        return host.setAside != null && nowMs < host.trials.atMs || ofClass.apart && nowMs < ofClass.atMs;
     }
 
     private void watchSilence(double nowMs) {
         for (Host host : members) {
-            if (asks && host.setAside != null && nowMs >= host.trialAtMs) {
-                noteTrial(nowMs, host);
+            if (asks && host.setAside != null && nowMs >= host.trials.atMs) {
+                host.trials.note(nowMs);
                 actions.probe(host.id);
             }
             Attempt oldest = host.attempts.peekFirst();
--- a/src/test/java/umberkeel/DeparturesTest.java
+++ b/src/test/java/umberkeel/DeparturesTest.java
@@ -114,6 +114,31 @@
         assertEquals(List.of(), sidecar.breaches);
     }
 
+    @Test
+    void aServerThatTurnsOneClassAwayIsSetAsideForThatClassAlone() {
+        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
+                Samples.requestClass(Effect.UNSAFE, Group.ALL, 1)), 5);
+        sidecar.ready(5);
+        play(sidecar, 5000, 10, SOUND);
+        Fleet choosy = (attempt, ageMs) -> attempt.upstream <= 2 && sidecar.classOf(attempt.request) == 1
+                ? Outcome.REJECTED : SOUND.answer(attempt, ageMs);
+        play(sidecar, 1000, 10, choosy);
+        double later = sidecar.now;
+        play(sidecar, 8000, 10, choosy);
+        assertTrue(sentTo(sidecar, 1, 2, later) <= 16, "only trials: " + sentTo(sidecar, 1, 2, later));
+        assertTrue(sentTo(sidecar, 0, 2, later) > 40, "the other class stays: " + sentTo(sidecar, 0, 2, later));
+        play(sidecar, 15_000, 10, SOUND);
+        assertTrue(sentTo(sidecar, 1, 2, sidecar.now - 5000) > 20, "back in the draw");
+        assertEquals(0, sidecar.refused + sidecar.failed);
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    /** Attempts of a class at the upstreams up to this one. */
+    private static long sentTo(Sidecar sidecar, int requestClass, int lastUpstream, double sinceMs) {
+        return sidecar.sent.stream().filter(s -> s.upstream <= lastUpstream && s.atMs >= sinceMs
+                && sidecar.classOf(s.request) == requestClass).count();
+    }
+
     @Test
     void whenMostFailTheyAreStillTried() {
         Sidecar sidecar = sidecar(5);
--- a/src/test/java/umberkeel/Sidecar.java
+++ b/src/test/java/umberkeel/Sidecar.java
@@ -201,6 +201,10 @@
         return requests.get(request).attempts;
     }
 
+    int classOf(int request) {
+        return settings.classes().indexOf(requests.get(request).spec);
+    }
+
     boolean ended(int request) {
         return requests.get(request).ended;
     }
