--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -11,8 +11,8 @@
 
 /**
  * The decision module: load shifting by latency-equalising shares. Its interface (events, actions) is
- * {@code Balancer.java}. The ordinary path comes first ({@link #request}, {@link #pick}, {@link #shiftShares}), then
- * each departure with what it guards against and when it acts.
+ * {@code Balancer.java}. The ordinary path comes first ({@link #request}, {@link #pick},
+ * {@link #shiftShares}), then each departure with what it guards against and when it acts.
  */
 public final class LoadShiftingBalancer implements Balancer {
 
