--- a/src/main/java/umberkeel/Host.java
+++ b/src/main/java/umberkeel/Host.java
@@ -14,7 +14,7 @@
     boolean weighed;
     /** Its part of the draw. */
     double share;
-    /** Latencies of this tick and, where they are few, of earlier ones, over the typical one of their class. */
+    /** Latencies of this tick, and of earlier ones where they are few, over the class's typical one. */
     double latencySum;
     double samples;
     /** Their mean at the last tick, and how far it can be trusted. */
--- a/src/main/java/umberkeel/HostList.java
+++ b/src/main/java/umberkeel/HostList.java
@@ -9,7 +9,7 @@
 import umberkeel.Balancer.Status;
 import umberkeel.Balancer.Upstream;
 
-/** The upstreams that discovery has named, in the order in which they came, and the subset that is drawn from. */
+/** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class HostList {
 
     final List<Host> hosts = new ArrayList<>();
@@ -73,7 +73,7 @@
 
     private static void markGone(Host host) {
         Upstream old = host.listed;
-        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(), old.cell(),
-                old.weight());
+        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(),
+                old.cell(), old.weight());
     }
 }
--- a/src/main/java/umberkeel/Trials.java
+++ b/src/main/java/umberkeel/Trials.java
@@ -1,6 +1,6 @@
 package umberkeel;
 
-/** Failures in a row and, once these have led to a set-aside, when the next trial is due: ever more rarely. */
+/** Failures in a row and, once they have led to a set-aside, when the next trial is due: ever rarer. */
 final class Trials {
 
     int failures;
--- a/src/main/java/umberkeel/UnservedTries.java
+++ b/src/main/java/umberkeel/UnservedTries.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 
-/** When those came first whose tries ended unserved, for as long as they may come again; in constant space. */
+/** When those came first whose tries ended unserved, while they may come again; in constant space. */
 final class UnservedTries {
 
     private final double slotMs;
