Look once more at client, time and upstream before a request's first byte goes out

What was read: between the module's send and the first byte a request may wait, for a connection that comes up late or in the event loop itself where processor time is short. Upstreams.send and the connect listener in UpstreamConnection.open wrote to the upstream without looking at anything but whether the attempt had been called off.

Forced on loopback, with the event loop held or the upstream's listener full: - a request read in the same turn as its client's close went on to the upstream: the close was in the socket, and was read only after the write; - the same for one in the module's queue, where the list that ended its wait was read before the close; - where the settings allow no cancelling, the module leaves the attempts of a client that has gone alone, and one that still waited for its connection was written when it came up; - a connection that came up after the attempt's time, in the turn before its timer, was still written to. An upstream that begins to leave under a waiting attempt was handled already (retire); what the module sends to a leaving one all the same now ends before the first byte.

Ruled out: the half of it that is the event loop's order alone. A close that is read before the send does end the request as it should.

Upstreams.mayGo is the one place that looks. The client's socket is read ahead for that, since Java's sockets can't peek: what is found is kept and read in its turn, and a client that merely sends nothing more, or sends more, is still there.

--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/umberkeel/node/ClientConnection.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -42,7 +41,7 @@
     /** Requests in hand, beyond which no more is read. */
     private static final int MOST_OWED = 4;
 
-    private final SocketChannel channel;
+    private final LookingChannel channel;
     private final ClientServer server;
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     /** Since when the client has been silent, sending, or not reading, in this order of the fields; 0 where not. */
@@ -57,7 +56,7 @@
     /** What comes is no longer read as requests. */
     private boolean deaf;
 
-    ClientConnection(SocketChannel channel, ClientServer server) {
+    ClientConnection(LookingChannel channel, ClientServer server) {
         this.channel = channel;
         this.server = server;
     }
@@ -86,6 +85,11 @@
             answer(message);
         }
 
+        @Override
+        public boolean hasLeft() {
+            return channel.hasEnded();
+        }
+
         private void answer(FullHttpResponse message) {
             release();
             response = message;
--- a/src/main/java/umberkeel/node/ClientServer.java
+++ b/src/main/java/umberkeel/node/ClientServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -54,7 +53,7 @@
     }
 
     ChannelFuture bind(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(ClientListener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, oneAtATime())
@@ -62,7 +61,8 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        ClientConnection connection = new ClientConnection(channel, ClientServer.this);
+                        ClientConnection connection = new ClientConnection((LookingChannel) channel,
+                                ClientServer.this);
                         channel.pipeline().addLast(new RequestDecoder(connection), new HttpResponseEncoder(),
                                 new RequestGuard(), RequestGuard.joining(), connection);
                     }
--- a/src/main/java/umberkeel/node/Engine.java
+++ b/src/main/java/umberkeel/node/Engine.java
@@ -35,6 +35,9 @@
     /** Where the final answer of a request goes. */
     interface Client {
         void answer(Answer answer);
+
+        /** Whether its connection has ended, also where the event loop has not come to that yet. */
+        boolean hasLeft();
     }
 
     /** Where the module's wishes about the list of upstreams go. */
@@ -132,6 +135,15 @@
         }
     }
 
+    @Override
+    public boolean isWanted(Upstreams.Attempt attempt) {
+        Exchange exchange = attempt.exchange;
+        if (exchange.client.hasLeft()) {
+            clientLeft(exchange);
+        }
+        return !exchange.over;
+    }
+
     @Override
     public void attemptEnded(Upstreams.Attempt attempt, Outcome outcome, double[] report, Answer answer) {
         Exchange exchange = attempt.exchange;
--- a/src/main/java/umberkeel/node/LookingChannel.java
+++ b/src/main/java/umberkeel/node/LookingChannel.java
@@ -1,19 +1,107 @@
 package umberkeel.node;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
-/** A socket on which one can look whether anything has come that the event loop has not read yet. */
+/**
+ * A socket on which one can look at what has come and has not been read by the event loop yet. What a look finds is
+ * read by the event loop all the same, in its turn.
+ */
 final class LookingChannel extends NioSocketChannel {
 
-    /** Whether it is open with nothing to read; what there is to read is lost by this, and the channel to be closed. */
+    /** How far a look goes: what lies behind so much input is not seen. */
+    private static final int FURTHEST_BYTES = 4096;
+
+    private ByteBuf ahead;
+    private boolean ended;
+
+    /** For a connection that is to be opened. */
+    LookingChannel() {
+    }
+
+    /** For one that has been accepted. */
+    LookingChannel(Channel parent, SocketChannel accepted) {
+        super(parent, accepted);
+    }
+
+    /** Whether it is open with nothing to read. */
     boolean isQuiet() {
+        return !hasEnded() && ahead == null;
+    }
+
+    /** Whether the other side has closed it or broken it off; one that only sends nothing has not. */
+    boolean hasEnded() {
+        if (isActive() && !ended) {
+            look();
+        }
+        return ended || !isActive();
+    }
+
+    private void look() {
+        if (ahead == null) {
+            ahead = alloc().ioBuffer(FURTHEST_BYTES, FURTHEST_BYTES);
+        }
+        int before = ahead.readableBytes();
         try {
-            return isActive() && javaChannel().read(ByteBuffer.allocate(1)) == 0;
+            int read = 1;
+            while (read > 0 && ahead.isWritable()) {
+                read = ahead.writeBytes(javaChannel(), ahead.writableBytes());
+            }
+            ended = read < 0;
         } catch (IOException e) {
-            return false;
+            ended = true;
+        }
+        if (ahead.readableBytes() > before) {
+            readAhead();
+        }
+        letGo();
+    }
+
+    private void letGo() {
+        if (ahead != null && !ahead.isReadable()) {
+            ahead.release();
+            ahead = null;
+        }
+    }
+
+    /** The selector does not tell of what has been taken from the socket already. */
+    private void readAhead() {
+        eventLoop().execute(() -> {
+            if (ahead != null && isOpen() && config().isAutoRead()) {
+                unsafe().read();
+            }
+        });
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        super.doBeginRead();
+        if (ahead != null) {
+            readAhead();
+        }
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf into) throws Exception {
+        if (ahead == null) {
+            return super.doReadBytes(into);
+        }
+        int bytes = Math.min(ahead.readableBytes(), into.writableBytes());
+        into.writeBytes(ahead, bytes);
+        letGo();
+        return bytes;
+    }
+
+    @Override
+    protected void doClose() throws Exception {
+        if (ahead != null) {
+            ahead.release();
+            ahead = null;
         }
+        super.doClose();
     }
 }
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -82,6 +82,19 @@
         return sidecar;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
+    Engine engine() {
+        return engine;
+    }
+
+    /** How many connections clients hold. */
+    int clients() {
+        return clients.open();
+    }
+
     SocketAddress address() {
         return address;
     }
--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -85,7 +85,7 @@
         connecting.addListener(connected -> {
             if (!connected.isSuccess()) {
                 close();
-            } else if (attempt != null) {
+            } else if (attempt != null && upstreams.mayGo(attempt, pool)) {
                 write();
             }
         });
--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/umberkeel/node/Upstreams.java
@@ -27,8 +27,11 @@
     private static final double SAFE_IDLE = 0.75;
     private static final int SWEEPS_IN_IDLE = 20;
 
-    /** Is told of the end of each attempt; {@code answer} is there where the upstream has given the final one. */
     interface Listener {
+        /** Whether the request of an attempt still has no answer, and its client is still there. */
+        boolean isWanted(Attempt attempt);
+
+        /** Told of the end of each attempt; {@code answer} is there where the upstream has given the final one. */
         void attemptEnded(Attempt attempt, Outcome outcome, double[] report, Answer answer);
     }
 
@@ -63,6 +66,8 @@
     static final class Pool {
         private InetSocketAddress address;
         private double startedMs;
+        /** Whether it takes nothing new. */
+        private boolean leaving;
         private final Set<UpstreamConnection> open = new HashSet<>();
         /** Those that carry nothing, the latest used last. */
         private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -104,7 +109,8 @@
         }
         pool.address = member.address();
         pool.startedMs = member.startedMs();
-        if (another || member.status() != Status.READY) {
+        pool.leaving = member.status() != Status.READY;
+        if (another || pool.leaving) {
             retire(pool);
         }
     }
@@ -113,6 +119,7 @@
         Pool pool = pools.remove(id);
         if (pool != null) {
             LOG.log(System.Logger.Level.INFO, "upstream " + id + " is gone");
+            pool.leaving = true;
             retire(pool);
         }
     }
@@ -157,6 +164,9 @@
 
     void send(Attempt attempt) {
         Pool pool = pools.get(attempt.upstream);
+        if (pool != null && !mayGo(attempt, pool)) {
+            return;
+        }
         if (pool == null || !sockets.hasRoomForUpstream() && pool.idle.isEmpty() && !closeOneIdle()) {
             end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
             return;
@@ -172,6 +182,21 @@
         }
     }
 
+    /**
+     * The last look before a connection is opened for an attempt, and again before its first byte: wherever it has
+     * waited, it goes only if it is wanted, in time and welcome there. Else it ends here, and the module decides.
+     */
+    boolean mayGo(Attempt attempt, Pool pool) {
+        if (!listener.isWanted(attempt)) {
+            end(attempt, Outcome.NOT_SENT, NO_REPORT, null);
+        } else if (clock.nowMs() - attempt.sentMs >= attempt.capMs) {
+            giveUp(attempt, Outcome.TIMEOUT);
+        } else if (pool.leaving) {
+            end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
+        }
+        return attempt.outcome == null;
+    }
+
     /** On one that is not quiet something has come that nobody asked for: it would be taken for the next answer. */
     private static UpstreamConnection cleanIdle(Pool pool) {
         UpstreamConnection idle = pool.idle.pollLast();
--- a/src/test/java/umberkeel/node/EngineTest.java
+++ b/src/test/java/umberkeel/node/EngineTest.java
@@ -49,7 +49,17 @@
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         ClientRequest request = new ClientRequest("0000000000000001", 1, 0, remainingMs, false, 0, HttpMethod.POST, "/event-submit",
                 new DefaultHttpHeaders(), new byte[0]);
-        loop.execute(() -> engine.request(request, given -> assertTrue(answer.complete(given), "answered once")));
+        loop.execute(() -> engine.request(request, new Engine.Client() {
+            @Override
+            public void answer(Answer given) {
+                assertTrue(answer.complete(given), "answered once");
+            }
+
+            @Override
+            public boolean hasLeft() {
+                return false;
+            }
+        }));
         return answer.get(Wire.PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -107,6 +117,39 @@
         assertEquals(0, inHand(engine));
     }
 
+    /** Whatever the module believes, nothing new goes to an upstream that leaves. */
+    @Test
+    void nothingIsSentToAnUpstreamThatLeaves() throws Exception {
+        List<Outcome> ends = new ArrayList<>();
+        Engine engine = engine(actions -> new IdleBalancer() {
+            private int leaving;
+
+            @Override
+            public void upstreams(double nowMs, Balancer.ListKind kind, List<Balancer.Upstream> entries) {
+                leaving = entries.get(0).id();
+            }
+
+            @Override
+            public void request(double nowMs, Request request) {
+                actions.send(request.id(), leaving, 1000);
+            }
+
+            @Override
+            public void attemptEnded(double nowMs, AttemptEnd end) {
+                ends.add(end.outcome());
+                actions.refuse(end.request(), 0);
+            }
+        });
+        try (Rig rig = new Rig()) {
+            String list = Rig.list(1, true, Rig.member("u1", Rig.address(rig.listener()), "leaving"));
+            MemberReader reader = Config.of(rig.config(null)).members();
+            MemberReader.Update update = reader.read(Config.JSON.readTree(list));
+            loop.submit(() -> engine.upstreams(Balancer.ListKind.FULL, update)).get();
+            assertEquals(503, ask(engine, 30_000).status());
+            assertEquals(List.of(Outcome.CONNECT_FAILED), ends);
+        }
+    }
+
     /** The module acts during its call: what that brings about at once is told after the call, not within it. */
     @Test
     void theModuleIsNeverEnteredTwice() throws Exception {
--- a/src/test/java/umberkeel/node/Rig.java
+++ b/src/test/java/umberkeel/node/Rig.java
@@ -1,13 +1,21 @@
 package umberkeel.node;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.junit.jupiter.api.function.Executable;
+
 /** A sidecar on loopback with listeners for its upstreams and for discovery, which the test itself plays. */
 final class Rig implements AutoCloseable {
 
@@ -88,6 +96,80 @@
         return this;
     }
 
+    /** The same with the value of one setting replaced; both as they stand in the settings' text. */
+    Rig startWith(String known, String setting, String replaced) throws Exception {
+        assertTrue(SETTINGS.contains(setting), setting);
+        ObjectNode config = config(known);
+        config.set("settings", Config.JSON.readTree(SETTINGS.replace(setting, replaced)));
+        sidecar = Sidecar.start(Config.of(config));
+        return this;
+    }
+
+    /** Does something while the event loop is held, as a shortage of processor time holds it. */
+    void whileHeld(Executable action) throws Throwable {
+        CountDownLatch holds = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        sidecar.loop().execute(() -> {
+            holds.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        holds.await();
+        try {
+            action.execute();
+        } finally {
+            released.countDown();
+        }
+    }
+
+    /** An upstream's listener that lets nobody in until it is opened: who connects meanwhile waits. */
+    static final class Gate implements AutoCloseable {
+        private static final int SLOTS = 2; // a backlog of one has room for two
+        private final List<Socket> fillers = new ArrayList<>();
+        final ServerSocket listener;
+
+        Gate() throws IOException {
+            listener = new ServerSocket(0, SLOTS - 1, Wire.loopback());
+            listener.setSoTimeout(Wire.PATIENCE_MS);
+            for (int i = 0; i < SLOTS; i++) {
+                fillers.add(new Socket(Wire.loopback(), listener.getLocalPort()));
+            }
+        }
+
+        /** Lets in who has waited. */
+        Wire open() throws IOException {
+            for (int i = 0; i < SLOTS; i++) {
+                listener.accept().close();
+            }
+            return accept(listener);
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            listener.close();
+        }
+    }
+
+    /** Waits until so many requests are in the sidecar's hand. */
+    void awaitInHand(int requests) throws Exception {
+        await(() -> sidecar.engine().inHand() == requests);
+    }
+
+    /** Waits until this holds, looked at on the event loop. */
+    void await(Callable<Boolean> condition) throws Exception {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
+        while (!sidecar.loop().submit(condition).get()) {
+            assertTrue(System.nanoTime() < untilNanos, "it never came to that");
+            Thread.onSpinWait();
+        }
+    }
+
     Sidecar sidecar() {
         return sidecar;
     }
