At SIGTERM leave open the connections on which a request has begun to come

Read for what comes between two lines: ClientConnection.closeIfIdle, which the end of a sidecar calls for each connection, took one for idle when it owed no answer and wrote none. A request of which a part had been read was broken off by that, and one that lay unread in the socket as well, though its last byte had come before the close.

Forced on loopback: half a request sent before the stop and the rest after it, a half that stays one, and a request written while the event loop has the close as its next task. All three were cut off without an answer; the first two were no first requests on their connections, and so lost. Now the connection stays until its answer is written; a request that is not whole 0.5 s after it began gets its 408, before the sidecar ends.

Two more places of the same kind: the hook for SIGTERM was set after the listener, so a signal between these two lines ended the program with requests in hand (Sidecar.main); and what was read between an answer that closes a connection and the close of its sending was taken, though no answer could follow (flushAnswers).

Ruled out by tests that passed before: requests in flight, in the module's queue, on new and on kept connections until the end get their whole answers.

--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/umberkeel/node/ClientConnection.java
@@ -29,6 +29,8 @@
     private static final System.Logger LOG = System.getLogger("umberkeel");
     /** For a request's bytes from the first to the last; the first request's time counts from connecting. */
     private static final double REQUEST_MS = 2200;
+    /** The same once the sidecar is ending: what is under way then is still waited for, but not for long. */
+    private static final double LAST_REQUEST_MS = 500;
     /** For the first byte, where others wait for room: whoever has something to say connects to say it. */
     private static final double SILENT_MS = 250;
     /** A connection with no request may be closed once it has been at rest for this long. */
@@ -200,6 +202,7 @@
             Owed first = owed.pollFirst();
             boolean last = !first.keepAlive || owed.isEmpty() && endsWithThisAnswer();
             answered = true;
+            deaf |= last; // what came behind it would have no answer
             HttpUtil.setKeepAlive(first.response, !last);
             writesSinceMs = writing++ == 0 ? server.nowMs() : writesSinceMs;
             channel.writeAndFlush(first.response).addListener(written -> written(last));
@@ -223,7 +226,6 @@
         writing--;
         writesSinceMs = writing == 0 ? 0 : server.nowMs();
         if (last) {
-            deaf = true;
             drainsSinceMs = server.nowMs();
             readWhileThereIsRoom();
             channel.shutdownOutput();
@@ -242,7 +244,7 @@
     void endIfOverdue(double nowMs) {
         if (silent && nowMs - sendsSinceMs > REQUEST_MS) {
             close();
-        } else if (sendsSinceMs > 0 && nowMs - sendsSinceMs > REQUEST_MS) {
+        } else if (sendsSinceMs > 0 && nowMs - sendsSinceMs > (server.closing() ? LAST_REQUEST_MS : REQUEST_MS)) {
             reject(new RejectedException(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time"));
         } else if (writesSinceMs > 0 && nowMs - writesSinceMs > READ_MS
                 || drainsSinceMs > 0 && nowMs - drainsSinceMs > DRAIN_MS) {
@@ -250,8 +252,10 @@
         }
     }
 
+    /** One on which a request has begun to come, read or not, is not idle: it closes with the answer to that. */
     void closeIfIdle() {
-        if (owed.isEmpty() && writing == 0) {
+        boolean begun = sendsSinceMs > 0 && !silent;
+        if (owed.isEmpty() && writing == 0 && !begun && channel.isQuiet()) {
             close();
         }
     }
--- a/src/main/java/umberkeel/node/ClientServer.java
+++ b/src/main/java/umberkeel/node/ClientServer.java
@@ -84,7 +84,9 @@
 
     /** By now new connections no longer come; those that were accepted meanwhile and carry nothing close too. */
     void stopListening() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
         closeConnections();
     }
 
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -54,9 +54,9 @@
             ReloadSignal signal = new ReloadSignal();
             Config config = Config.load(environment);
             Rehearsal.tryIt();
-            Sidecar sidecar = start(config);
+            Sidecar sidecar = create(config);
             signal.onSignal(() -> sidecar.reload(environment));
-            Runtime.getRuntime().addShutdownHook(new Thread(sidecar::stopAndExit, "stop"));
+            sidecar.listen(config, new Thread(sidecar::stopAndExit, "stop"));
             LOG.log(System.Logger.Level.INFO, "listening on " + sidecar.address());
         } catch (Config.BadConfigException e) {
             System.err.println("umberkeel: " + e.getMessage());
@@ -71,15 +71,35 @@
     }
 
     static Sidecar start(Config config) throws InterruptedException, IOException {
+        Sidecar sidecar = create(config);
+        sidecar.listen(config);
+        return sidecar;
+    }
+
+    /** One that does all but listen. */
+    static Sidecar create(Config config) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        Sidecar sidecar = loop.submit(() -> new Sidecar(loop, config)).syncUninterruptibly().getNow();
-        ChannelFuture bound = sidecar.clients.bind(config.listen()).await();
+        return loop.submit(() -> new Sidecar(loop, config)).syncUninterruptibly().getNow();
+    }
+
+    /** From the first request on SIGTERM lets what was taken be answered: {@code onStop} is there before it comes. */
+    private void listen(Config config, Thread onStop) throws InterruptedException, IOException {
+        Runtime.getRuntime().addShutdownHook(onStop);
+        try {
+            listen(config);
+        } catch (IOException e) {
+            Runtime.getRuntime().removeShutdownHook(onStop); // it would end the program as if all were well
+            throw e;
+        }
+    }
+
+    void listen(Config config) throws InterruptedException, IOException {
+        ChannelFuture bound = clients.bind(config.listen()).await();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + config.listen(), bound.cause());
         }
-        sidecar.address = bound.channel().localAddress();
-        return sidecar;
+        address = bound.channel().localAddress();
     }
 
     EventLoop loop() {
@@ -122,12 +142,16 @@
 
     void stop() throws InterruptedException {
         loop.schedule(() -> {
-            clients.closeConnections();
+            closeConnections();
             loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
         }, GOES_ON_MS, TimeUnit.MILLISECONDS);
         stopped.await();
     }
 
+    void closeConnections() {
+        clients.closeConnections();
+    }
+
     private void stopListening() {
         clients.stopListening();
         endWhenAnswered(LAST_BYTES_MS);
