Read lists from discovery however they are laid out, not one to a line alone

Discovery.lineEnds gave each line to the JSON reader by itself, so the first line of an indented list, a lone brace, was "no list": the watch was closed, opened again a second later and closed by the next one. Such a sidecar goes on with the list that it was started with.

Seen by a forced test on loopback that sends a change indented, in pieces of 1, 7 and all bytes: the watch is broken off with "discovery sent what is no list".

Objects are now read as they come by Jackson's non-blocking parser (ListStream). A torn one is found by its syntax, or by the empty line that comes between objects alone, so that it can't hold up those that follow.

Also covered, and good before: a watch that falls silent, late lines of an old watch, resets with discovery down and back.

--- a/src/main/java/umberkeel/node/Discovery.java
+++ b/src/main/java/umberkeel/node/Discovery.java
@@ -1,13 +1,12 @@
 package umberkeel.node;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -33,7 +32,7 @@
 
 /**
  * The list of upstreams. Where lists are pushed, a watch is kept open at all times; where they are asked for, the
- * module says when. Each line is passed on as soon as it has been read.
+ * module says when. Each list or change of it is passed on as soon as it has been read.
  */
 final class Discovery implements Engine.Lists {
 
@@ -43,7 +42,6 @@
     private static final long SILENCE_MS = 5000;
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 1000;
-    private static final int MOST_LINE_BYTES = 1 << 22;
 
     private final EventLoop loop;
     private InetSocketAddress address;
@@ -153,7 +151,7 @@
     /** One connection to discovery, for a watch or for the whole list once. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean watch;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ListStream lists;
         private final InetSocketAddress target = address;
         private final Channel channel;
         private long heardNanos = System.nanoTime();
@@ -161,6 +159,7 @@
 
         private Call(boolean watch) {
             this.watch = watch;
+            this.lists = new ListStream(this::take);
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMs))
@@ -210,47 +209,41 @@
                 if (content.content().isReadable()) {
                     pauseMs = 0; // discovery is well: after the next break the watch is opened again at once
                 }
-                read(content.content());
-            }
-            if (message instanceof LastHttpContent) {
-                lineEnds();
-                channel.close();
-            }
-        }
-
-        private void read(ByteBuf bytes) {
-            while (bytes.isReadable() && channel.isOpen()) {
-                byte next = bytes.readByte();
-                if (next == '\n') {
-                    lineEnds();
-                } else {
-                    line.write(next);
-                }
-            }
-            if (line.size() > MOST_LINE_BYTES) {
-                channel.close();
+                read(content);
             }
         }
 
-        private void lineEnds() {
-            byte[] text = line.toByteArray();
-            line.reset();
-            if (new String(text, StandardCharsets.UTF_8).isBlank()
-                    || watch && this != Discovery.this.watch || !target.equals(address)) {
-                return;
-            }
+        private void read(HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
             try {
-                Update update = members.read(Config.JSON.readTree(text));
-                whole = true;
-                revision = update.revision();
-                accept(update, update.complete() ? ListKind.FULL : ListKind.DELTA);
+                if (!isStale()) {
+                    lists.read(content.content());
+                    if (last && !lists.isComplete()) {
+                        throw new IOException("its end is missing");
+                    }
+                }
             } catch (IOException | IllegalArgumentException e) {
                 LOG.log(System.Logger.Level.WARNING, "discovery sent what is no list: " + e.getMessage());
                 pauseMs = LONGEST_PAUSE_MS; // it would most likely be sent again at once, and again
+                last = true;
+            }
+            if (last) {
                 channel.close();
             }
         }
 
+        /** Whether another watch has taken its place, or discovery has moved: what it says may be older. */
+        private boolean isStale() {
+            return watch && this != Discovery.this.watch || !target.equals(address);
+        }
+
+        private void take(JsonNode list) {
+            Update update = members.read(list);
+            whole = true;
+            revision = update.revision();
+            accept(update, update.complete() ? ListKind.FULL : ListKind.DELTA);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             channel.close();
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -148,6 +148,11 @@
         stopped.await();
     }
 
+    /** Leaves the watch and opens another. */
+    void watchAnew() {
+        discovery.subscribe(true);
+    }
+
     void closeConnections() {
         clients.closeConnections();
     }
