Send no keyed repeat whose window has passed while its connection came up

LoadShiftingBalancer.mayGoTo compares the window with the time of its decision. Between that and the first byte lies the wait for a connection, up to limits.connectTimeoutMs, and upstreams drop a repeat only for windowMs from the first send: what goes out later runs again.

Seen by a forced test: the first attempt breaks after its last byte, the second upstream's listener is full, and is opened when the window is over. The repeat was written.

The last look before the first byte now asks that too. What it holds back ends as not sent, and the module goes on from there.

--- a/src/main/java/umberkeel/node/Engine.java
+++ b/src/main/java/umberkeel/node/Engine.java
@@ -17,9 +17,11 @@
 
 import umberkeel.Balancer;
 import umberkeel.Balancer.AttemptEnd;
+import umberkeel.Balancer.Effect;
 import umberkeel.Balancer.ListKind;
 import umberkeel.Balancer.Outcome;
 import umberkeel.Balancer.Request;
+import umberkeel.Balancer.RequestClass;
 import umberkeel.Balancer.Settings;
 import umberkeel.Balancer.Status;
 import umberkeel.Balancer.Upstream;
@@ -113,6 +115,11 @@
         return exchanges.size();
     }
 
+    /** How many upstreams are listed, whatever their state. */
+    int listed() {
+        return memberIds.size();
+    }
+
     // ---- What happens: told to the module in the order in which it happened.
 
     Exchange request(ClientRequest request, Client client) {
@@ -141,7 +148,15 @@
         if (exchange.client.hasLeft()) {
             clientLeft(exchange);
         }
-        return !exchange.over;
+        return !exchange.over && isHarmless(attempt);
+    }
+
+    /** A keyed request that may have run goes out again only while upstreams still know its key. */
+    private boolean isHarmless(Upstreams.Attempt attempt) {
+        RequestClass spec = settings.classes().get(attempt.exchange.request.requestClass());
+        double sinceMs = clock.nowMs() - spec.windowMs();
+        return spec.effect() != Effect.KEYED || attempt.exchange.attempts.stream()
+                .allMatch(other -> other == attempt || !other.mayHaveRun() || other.sentMs > sinceMs);
     }
 
     @Override
--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/umberkeel/node/Upstreams.java
@@ -28,7 +28,7 @@
     private static final int SWEEPS_IN_IDLE = 20;
 
     interface Listener {
-        /** Whether the request of an attempt still has no answer, and its client is still there. */
+        /** Whether the request of an attempt has no answer yet, its client is there and its class lets it go. */
         boolean isWanted(Attempt attempt);
 
         /** Told of the end of each attempt; {@code answer} is there where the upstream has given the final one. */
@@ -60,6 +60,10 @@
         double elapsedMs() {
             return elapsedMs;
         }
+
+        boolean mayHaveRun() {
+            return written && (outcome == null || !outcome.provesNotRun());
+        }
     }
 
     /** The connections to one upstream at its present address. */
--- a/src/test/java/umberkeel/node/LastLookTest.java
+++ b/src/test/java/umberkeel/node/LastLookTest.java
@@ -143,4 +143,27 @@
             }
         }
     }
+
+    /** Its key is forgotten by the time that its connection is up: it would run twice. */
+    @Test
+    void aKeyedRequestThatMayHaveRunIsNotRepeatedAfterItsWindow() throws Throwable {
+        int windowMs = 1500;
+        try (Rig.Gate slow = new Rig.Gate()) {
+            rig.startWith(one("active", upstream), "\"fragile\",\"group\":\"all\"",
+                    "\"dedup\",\"group\":\"all\",\"windowMs\":" + windowMs);
+            try (Wire watch = rig.watch(); Wire client = rig.client()) {
+                client.send(Rig.post(Rig.id(1), "x").replace("Host:", "Idempotency-Key: k1\r\nHost:"));
+                Wire up = Rig.accept(upstream);
+                up.read();
+                long sentNanos = System.nanoTime();
+                watch.send(Rig.chunk(Rig.list(2, false, Rig.member("u2", Rig.address(slow.listener), "active"))));
+                rig.await(() -> rig.sidecar().engine().listed() == 2);
+                up.reset();
+                while (System.nanoTime() - sentNanos < TimeUnit.MILLISECONDS.toNanos(windowMs)) {
+                    Thread.onSpinWait();
+                }
+                assertTrue(slow.open().ends(), "nothing is written to it");
+            }
+        }
+    }
 }
