Let an upstream's connection rest for 50 ms before it carries the next request

What was read: a connection went back to the pool with its answer's last byte and was the first to be taken again (Upstreams.cleanIdle took the latest used). What had come behind the answer by then was seen, since the socket was looked at.

Seen by a forced test: the next request is read right behind the answer, and the second answer comes while it is out. Its client got the first one's body.

Now it rests for several times what "some milliseconds" can mean with the delays between zones (up to 10 ms a way); what comes in this time ends it. The latest used of those that have rested goes first, as before. It costs a second connection where an upstream is asked more often than that; each stays for the idle time, so the handshakes are few.

--- a/src/main/java/umberkeel/node/Engine.java
+++ b/src/main/java/umberkeel/node/Engine.java
@@ -120,6 +120,11 @@
         return memberIds.size();
     }
 
+    /** Whether each idle connection to an upstream can be used again. */
+    boolean upstreamsHaveRested() {
+        return upstreams.haveRested();
+    }
+
     // ---- What happens: told to the module in the order in which it happened.
 
     Exchange request(ClientRequest request, Client client) {
--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/umberkeel/node/Upstreams.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,6 +27,11 @@
     /** Of the idle time after which an upstream closes: what is written to a connection then would be lost. */
     private static final double SAFE_IDLE = 0.75;
     private static final int SWEEPS_IN_IDLE = 20;
+    /**
+     * From an answer to the next request on its connection: a second answer may come late, and would be taken for
+     * the one to that. What comes in this time ends the connection instead.
+     */
+    private static final double REST_MS = 50;
 
     interface Listener {
         /** Whether the request of an attempt has no answer yet, its client is there and its class lets it go. */
@@ -171,18 +177,18 @@
         if (pool != null && !mayGo(attempt, pool)) {
             return;
         }
-        if (pool == null || !sockets.hasRoomForUpstream() && pool.idle.isEmpty() && !closeOneIdle()) {
+        UpstreamConnection rested = pool == null ? null : rested(pool);
+        if (pool == null || rested == null && !sockets.hasRoomForUpstream() && !closeOneIdle()) {
             end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
             return;
         }
         attempt.timeout = loop.schedule(() -> giveUp(attempt, Outcome.TIMEOUT), Math.round(attempt.capMs * 1000),
                 TimeUnit.MICROSECONDS);
-        UpstreamConnection idle = cleanIdle(pool);
-        if (idle == null) {
+        if (rested == null) {
             connect(pool, attempt);
         } else {
-            idle.carry(attempt);
-            idle.write();
+            rested.carry(attempt);
+            rested.write();
         }
     }
 
@@ -202,13 +208,26 @@
     }
 
     /** On one that is not quiet something has come that nobody asked for: it would be taken for the next answer. */
-    private static UpstreamConnection cleanIdle(Pool pool) {
-        UpstreamConnection idle = pool.idle.pollLast();
-        while (idle != null && !idle.isQuiet()) {
-            idle.close();
-            idle = pool.idle.pollLast();
+    private UpstreamConnection rested(Pool pool) {
+        double sinceMs = clock.nowMs() - REST_MS;
+        for (Iterator<UpstreamConnection> latest = pool.idle.descendingIterator(); latest.hasNext();) {
+            UpstreamConnection idle = latest.next();
+            if (idle.idleSinceMs() <= sinceMs) {
+                latest.remove();
+                if (idle.isQuiet()) {
+                    return idle;
+                }
+                idle.close();
+            }
         }
-        return idle;
+        return null;
+    }
+
+    /** Whether each idle connection can be used again. */
+    boolean haveRested() {
+        double sinceMs = clock.nowMs() - REST_MS;
+        return pools.values().stream().allMatch(pool -> pool.idle.isEmpty()
+                || pool.idle.peekLast().idleSinceMs() <= sinceMs);
     }
 
     /** Stops waiting for an attempt, if it is still out. A time-out before its last byte went out proves no run. */
--- a/src/test/java/umberkeel/node/Rig.java
+++ b/src/test/java/umberkeel/node/Rig.java
@@ -161,6 +161,11 @@
         await(() -> sidecar.engine().inHand() == requests);
     }
 
+    /** Waits until idle connections to upstreams can be used again. */
+    void awaitRested() throws Exception {
+        await(() -> sidecar.engine().upstreamsHaveRested());
+    }
+
     /** Waits until this holds, looked at on the event loop. */
     void await(Callable<Boolean> condition) throws Exception {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
--- a/src/test/java/umberkeel/node/SpoiltAnswerTest.java
+++ b/src/test/java/umberkeel/node/SpoiltAnswerTest.java
@@ -64,6 +64,28 @@
         }
     }
 
+    /** It is on its way while the next request is written: that one goes over another connection. */
+    @Test
+    void aSecondAnswerThatComesLateReachesNoOtherRequest() throws Throwable {
+        try (Wire client = rig.client()) {
+            client.send(Rig.post(Rig.id(1), "x"));
+            Wire up = Rig.accept(upstream);
+            up.read();
+            rig.whileHeld(() -> {
+                up.send(Rig.answer("200 OK", "one"));
+                client.send(Rig.post(Rig.id(2), "x")); // read right behind the answer
+            });
+            assertEquals("one", client.read().body());
+            rig.awaitInHand(1);
+            up.send(Rig.answer("200 OK", "one"));
+            Wire next = Rig.accept(upstream);
+            assertEquals(Rig.id(2), next.read().header("X-Txn"));
+            next.send(Rig.answer("200 OK", "two"));
+            assertEquals("two", client.read().body());
+            assertTrue(up.ends());
+        }
+    }
+
     /** An unsafe request shows it at once: it may have run, so it fails, and the connection is not waited for. */
     @ParameterizedTest
     @ValueSource(strings = {
