Open a pushed watch again within the grace for drains, however long discovery was down

Discovery.ended doubled the pause before the next watch up to a whole second: a sidecar that had just failed once more came back twice as late as the grace allows.

The longest pause is now half of the grace of the settings. Rubbish in place of a list is still answered by a pause of a second.

--- a/src/main/java/umberkeel/node/Config.java
+++ b/src/main/java/umberkeel/node/Config.java
@@ -17,7 +17,8 @@
 
 /** What the platform tells a sidecar at its start. Keys that are not known here are left alone. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
-              Settings settings, MemberReader members, double connectTimeoutMs, double idleMs, double slackMs) {
+              Settings settings, MemberReader members, double connectTimeoutMs, double idleMs, double slackMs,
+              double drainGraceMs) {
 
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -59,7 +60,7 @@
                     root.path("known"), reader.settings(),
                     new MemberReader(reader.words("failureDomains"), reader.words("kinds")),
                     reader.number("limits.connectTimeoutMs", 250), reader.number("limits.connIdleMs", 15_000),
-                    reader.number("contract.answerSlackMs", 0));
+                    reader.number("contract.answerSlackMs", 0), reader.number("contract.drainGraceMs", 500));
         } catch (IllegalArgumentException e) {
             throw new BadConfigException("settings: " + e.getMessage());
         }
--- a/src/main/java/umberkeel/node/Discovery.java
+++ b/src/main/java/umberkeel/node/Discovery.java
@@ -42,12 +42,15 @@
     private static final long SILENCE_MS = 5000;
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 1000;
+    /** Of the time in which a drain has to be kept once it is told: it may be told the moment discovery is back. */
+    private static final double PAUSE_PART = 0.5;
 
     private final EventLoop loop;
     private InetSocketAddress address;
     private final MemberReader members;
     private final boolean asked;
     private final double connectTimeoutMs;
+    private final long longestPauseMs;
     private final Engine engine;
     /** The latest list from this address, or -1: another address may count in its own way. */
     private long revision = -1;
@@ -62,9 +65,15 @@
         this.members = config.members();
         this.asked = config.settings().askForList();
         this.connectTimeoutMs = config.connectTimeoutMs();
+        this.longestPauseMs = (long) Math.min(LONGEST_PAUSE_MS, PAUSE_PART * config.drainGraceMs());
         this.engine = engine;
     }
 
+    /** How long it waits before it opens the watch again, should it break now. */
+    long pauseMs() {
+        return pauseMs;
+    }
+
     /** Begins with the list as it was last known, which may be old or missing. */
     void start(Config config) {
         if (config.known().isObject()) {
@@ -138,7 +147,7 @@
             }
         } else if (call.watch && watching) {
             loop.schedule(this::watchAgain, pauseMs, TimeUnit.MILLISECONDS);
-            pauseMs = Math.min(LONGEST_PAUSE_MS, Math.max(FIRST_PAUSE_MS, 2 * pauseMs));
+            pauseMs = Math.min(longestPauseMs, Math.max(FIRST_PAUSE_MS, 2 * pauseMs));
         }
     }
 
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -148,6 +148,10 @@
         stopped.await();
     }
 
+    long watchPauseMs() {
+        return discovery.pauseMs();
+    }
+
     /** Leaves the watch and opens another. */
     void watchAnew() {
         discovery.subscribe(true);
--- a/src/test/java/umberkeel/node/WatchTest.java
+++ b/src/test/java/umberkeel/node/WatchTest.java
@@ -142,4 +142,16 @@
         awaitFirstIdleEnds(up);
         assertGoesTo(second, 2);
     }
+
+    /** What changed while discovery was down is told the moment that it is back: by then a watch has to be due. */
+    @Test
+    void howeverLongDiscoveryIsDownTheNextWatchIsDueWithinTheGrace() throws Exception {
+        rig.watch().reset();
+        for (int down = 0; down < 8; down++) {
+            Rig.accept(rig.discovery).reset();
+        }
+        Rig.accept(rig.discovery).read();
+        long pauseMs = rig.sidecar().loop().submit(rig.sidecar()::watchPauseMs).get();
+        assertTrue(pauseMs > 0 && pauseMs < 500, "it waits " + pauseMs + " ms");
+    }
 }
