--- a/src/test/java/umberkeel/node/Wire.java
+++ b/src/test/java/umberkeel/node/Wire.java
@@ -8,8 +8,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 /** One end of an HTTP/1.1 connection, byte for byte: the tests want to break off wherever they like. */
 final class Wire implements AutoCloseable {
@@ -76,6 +78,17 @@
         return new Message(message.first(), message.head(), new String(body, StandardCharsets.UTF_8));
     }
 
+    /** Waits until something has come, and leaves it unread. */
+    void awaitInput() throws IOException {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (socket.getInputStream().available() == 0) {
+            if (System.nanoTime() > untilNanos) {
+                throw new SocketTimeoutException("nothing came");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     /** Waits until the other side has closed. */
     boolean ends() throws IOException {
         try {
