Look for unread input before a client's connection ends, and shut it before the close

Cause: four places of the sidecar ended a client's connection by the clock alone, and only one of them looked for bytes that the system held unread. On a small part of a core the look at the clock may come before the read. Lines at fault: ClientConnection.endIfOverdue closed a connection as silent, or answered 408 to a request whose last bytes lay unread; canGo let ClientKeeper close a connection at rest over an unread request; closeIfIdle closed, 0.5 s after SIGTERM, a connection so new that its request was still to come, and did so with a close, which resets what crosses it; ClientServer.stopListening closed the listener over its backlog.

Now each end begins in ClientConnection.end(): unread input is looked for, the sending side is shut, what still comes is read, and the socket is closed after that. A request that seems overdue gets one more read. A request that is half read at SIGTERM has its half second from the end of service on, not from its first byte, and the patience at the end is counted anew after each answer.

--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/umberkeel/node/ClientConnection.java
@@ -30,7 +30,7 @@
     /** For a request's bytes from the first to the last; the first request's time counts from connecting. */
     private static final double REQUEST_MS = 2200;
     /** The same once the sidecar is ending: what is under way then is still waited for, but not for long. */
-    private static final double LAST_REQUEST_MS = 500;
+    static final double LAST_REQUEST_MS = 500;
     /** For the first byte, where others wait for room: whoever has something to say connects to say it. */
     private static final double SILENT_MS = 250;
     /** A connection with no request may be closed once it has been at rest for this long. */
@@ -38,7 +38,7 @@
     /** For the client to read an answer. */
     private static final double READ_MS = 5000;
     /** After an error what still comes is read for a while: a close with unread input would destroy the error. */
-    private static final double DRAIN_MS = 500;
+    static final double DRAIN_MS = 500;
     private static final int DRAIN_BYTES = 1 << 18;
     /** Requests in hand, beyond which no more is read. */
     private static final int MOST_OWED = 4;
@@ -57,6 +57,8 @@
     private boolean answered;
     /** What comes is no longer read as requests. */
     private boolean deaf;
+    /** Whether what was unread when the request was overdue has had its chance. */
+    private boolean lookedAgain;
 
     ClientConnection(LookingChannel channel, ClientServer server) {
         this.channel = channel;
@@ -125,7 +127,7 @@
     @Override
     public void came(int bytes) {
         silent = false;
-        if (sendsSinceMs == 0 && !deaf) {
+        if (sendsSinceMs == 0) {
             unfinished();
         }
         if (drainsSinceMs > 0) {
@@ -138,8 +140,10 @@
 
     @Override
     public void unfinished() {
-        sendsSinceMs = server.nowMs();
-        restsSinceMs = 0;
+        if (!deaf) {
+            sendsSinceMs = server.nowMs();
+            restsSinceMs = 0;
+        }
     }
 
     @Override
@@ -149,6 +153,7 @@
         }
         sendsSinceMs = 0;
         restsSinceMs = 0;
+        lookedAgain = false;
         if (message.decoderResult().isFailure()) {
             reject(message.decoderResult().cause());
             return;
@@ -226,41 +231,79 @@
         writing--;
         writesSinceMs = writing == 0 ? 0 : server.nowMs();
         if (last) {
-            drainsSinceMs = server.nowMs();
-            readWhileThereIsRoom();
-            channel.shutdownOutput();
+            end();
         }
     }
 
-    // ---- The end.
+    // ---- The end: whatever it is for, it begins in end(), or behind the last answer. What has been taken is answered
+    // before, unread input is looked for, and what still comes is read: a close over it would be a reset.
 
-    /** Whether it can make room: it carries nothing, has not for a while, or never has. */
-    boolean canGo(double nowMs) {
-        return owed.isEmpty() && writing == 0 && (drainsSinceMs > 0
-                || restsSinceMs > 0 && nowMs - restsSinceMs > REST_MS
+    /** Makes room if it can: it carries nothing, has not for a while, or never has. Returns whether it does. */
+    boolean makeRoom(double nowMs) {
+        boolean ending = drainsSinceMs > 0 && writing == 0;
+        boolean canGo = ending || carriesNothing() && (restsSinceMs > 0 && nowMs - restsSinceMs > REST_MS
                 || silent && nowMs - sendsSinceMs > SILENT_MS);
+        if (!canGo || !channel.isQuiet()) {
+            return false;
+        }
+        if (ending) {
+            close();
+        } else {
+            end();
+        }
+        return true;
     }
 
     void endIfOverdue(double nowMs) {
-        if (silent && nowMs - sendsSinceMs > REQUEST_MS) {
-            close();
-        } else if (sendsSinceMs > 0 && nowMs - sendsSinceMs > (server.closing() ? LAST_REQUEST_MS : REQUEST_MS)) {
-            reject(new RejectedException(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time"));
-        } else if (writesSinceMs > 0 && nowMs - writesSinceMs > READ_MS
-                || drainsSinceMs > 0 && nowMs - drainsSinceMs > DRAIN_MS) {
+        if (server.closing()) {
+            endIfIdle(nowMs);
+        }
+        if (drainsSinceMs > 0 && nowMs - drainsSinceMs > DRAIN_MS || writesSinceMs > 0 && nowMs - writesSinceMs > READ_MS) {
             close();
+        } else if (sendsSinceMs > 0 && nowMs - Math.max(sendsSinceMs, server.closingSinceMs()) > requestMs()
+                && isReadUp()) {
+            if (silent) {
+                end();
+            } else {
+                reject(new RejectedException(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time"));
+            }
         }
     }
 
-    /** One on which a request has begun to come, read or not, is not idle: it closes with the answer to that. */
-    void closeIfIdle() {
-        boolean begun = sendsSinceMs > 0 && !silent;
-        if (owed.isEmpty() && writing == 0 && !begun && channel.isQuiet()) {
-            close();
+    private double requestMs() {
+        return server.closing() ? LAST_REQUEST_MS : REQUEST_MS;
+    }
+
+    /** The clock alone does not tell: what came in time may lie unread for want of processor time. */
+    private boolean isReadUp() {
+        boolean readUp = lookedAgain || channel.isQuiet();
+        lookedAgain = true;
+        return readUp;
+    }
+
+    /** One on which a request has begun to come, or may be about to, is not idle: it ends with the answer to that. */
+    void endIfIdle(double nowMs) {
+        boolean begun = sendsSinceMs > 0 && (!silent || nowMs - sendsSinceMs <= SILENT_MS);
+        if (carriesNothing() && !begun && channel.isQuiet()) {
+            end();
         }
     }
 
-    void close() {
+    private boolean carriesNothing() {
+        return owed.isEmpty() && writing == 0 && drainsSinceMs == 0;
+    }
+
+    /** No more is sent from now on; what crosses this is read, but no longer served: its client comes again. */
+    private void end() {
+        deaf = true;
+        sendsSinceMs = 0;
+        restsSinceMs = 0;
+        drainsSinceMs = server.nowMs();
+        readWhileThereIsRoom();
+        channel.shutdownOutput();
+    }
+
+    private void close() {
         channel.close();
     }
 
--- a/src/main/java/umberkeel/node/ClientKeeper.java
+++ b/src/main/java/umberkeel/node/ClientKeeper.java
@@ -64,7 +64,8 @@
         return connections.size() > sockets.mostRequests();
     }
 
-    private void look() {
+    /** Ends what is overdue. */
+    void look() {
         double nowMs = clock.nowMs();
         all().forEach(connection -> connection.endIfOverdue(nowMs));
         makeRoom();
@@ -76,12 +77,8 @@
             return;
         }
         double nowMs = clock.nowMs();
-        List<ClientConnection> leaving = new ArrayList<>();
-        for (ClientConnection connection : connections) {
-            if (leaving.size() < wanted && connection.canGo(nowMs)) {
-                leaving.add(connection);
-            }
+        for (ClientConnection connection : all()) {
+            wanted -= wanted > 0 && connection.makeRoom(nowMs) ? 1 : 0;
         }
-        leaving.forEach(ClientConnection::close);
     }
 }
--- a/src/main/java/umberkeel/node/ClientListener.java
+++ b/src/main/java/umberkeel/node/ClientListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -9,6 +10,8 @@
 /** Accepts clients on channels that can be looked at. */
 final class ClientListener extends NioServerSocketChannel {
 
+    private static final System.Logger LOG = System.getLogger("umberkeel");
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws IOException {
         SocketChannel client = javaChannel().accept();
@@ -18,4 +21,18 @@
         accepted.add(new LookingChannel(this, client));
         return 1;
     }
+
+    /** Accepts those that wait, up to this many: the listener's close would reset them, and what they have sent. */
+    void acceptAll(int most) {
+        List<Object> waiting = new ArrayList<>();
+        try {
+            int accepted = 1;
+            while (accepted > 0 && waiting.size() < most) {
+                accepted = doReadMessages(waiting);
+            }
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "can't accept what waits: " + e.getMessage());
+        }
+        waiting.forEach(pipeline()::fireChannelRead);
+    }
 }
--- a/src/main/java/umberkeel/node/ClientServer.java
+++ b/src/main/java/umberkeel/node/ClientServer.java
@@ -6,7 +6,6 @@
 import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,9 +35,9 @@
     private final ClientKeeper keeper;
     /** The identifiers of the requests that have no answer yet. */
     private final Set<String> ids = new HashSet<>();
-    private Channel listener;
-    /** Whether each answer is the last on its connection. */
-    private boolean closing;
+    private ClientListener listener;
+    /** Since when each answer is the last on its connection; 0 where it is not. */
+    private double closingSinceMs;
 
     ClientServer(EventLoop loop, Clock clock, Settings settings, Engine engine, SocketBudget sockets,
             BooleanSupplier hasList) {
@@ -67,7 +66,7 @@
                                 new RequestGuard(), RequestGuard.joining(), connection);
                     }
                 }).bind(address);
-        listener = bound.channel();
+        listener = (ClientListener) bound.channel();
         return bound;
     }
 
@@ -76,24 +75,30 @@
         return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
     }
 
-    /** From now on each connection closes with its answer, and those that carry nothing close at once. */
-    void closeConnections() {
-        closing = true;
-        keeper.all().forEach(ClientConnection::closeIfIdle);
+    /** From now on each connection ends with its answer, and those that carry nothing end at once. */
+    void endConnections() {
+        if (!closing()) {
+            closingSinceMs = clock.nowMs();
+        }
+        keeper.all().forEach(connection -> connection.endIfIdle(clock.nowMs()));
     }
 
-    /** By now new connections no longer come; those that were accepted meanwhile and carry nothing close too. */
+    /** By now new connections no longer come: those that do have been waiting, and are let in before. */
     void stopListening() {
         if (listener != null) {
+            listener.acceptAll(sockets.roomForClients());
             listener.close();
         }
-        closeConnections();
     }
 
     int open() {
         return keeper.open();
     }
 
+    void look() {
+        keeper.look();
+    }
+
     private void acceptWhileThereIsRoom() {
         if (listener != null) {
             listener.config().setAutoRead(sockets.roomForClients() > 0);
@@ -111,7 +116,11 @@
     }
 
     boolean closing() {
-        return closing;
+        return closingSinceMs > 0;
+    }
+
+    double closingSinceMs() {
+        return closingSinceMs;
     }
 
     boolean ready() {
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -23,7 +23,8 @@
     private static final long GOES_ON_MS = 500;
     /** Between closing what is idle and closing the listener: what is still under way by then is read. */
     private static final long LAST_CALL_MS = 100;
-    private static final long LAST_BYTES_MS = 1000;
+    /** With nothing in hand: for a request that is half read, for its answer to be read, and for the looks at both. */
+    private static final long LAST_BYTES_MS = (long) (ClientConnection.LAST_REQUEST_MS + ClientConnection.DRAIN_MS) + 200;
     private static final long LOOK_MS = 10;
 
     private final EventLoop loop;
@@ -142,7 +143,7 @@
 
     void stop() throws InterruptedException {
         loop.schedule(() -> {
-            closeConnections();
+            endConnections();
             loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
         }, GOES_ON_MS, TimeUnit.MILLISECONDS);
         stopped.await();
@@ -157,22 +158,31 @@
         discovery.subscribe(true);
     }
 
-    void closeConnections() {
-        clients.closeConnections();
+    void endConnections() {
+        clients.endConnections();
     }
 
-    private void stopListening() {
+    void stopListening() {
         clients.stopListening();
         endWhenAnswered(LAST_BYTES_MS);
     }
 
-    /** Each connection closes once its last answer is written; only a client that does not read is not waited for. */
+    /** Ends what is overdue, as the sidecar does now and then by itself. */
+    void lookAtClients() {
+        clients.look();
+    }
+
+    /**
+     * Each connection ends with its last answer, and one that carries nothing by itself. Only a client that does not
+     * read what it is sent is not waited for.
+     */
     private void endWhenAnswered(long patienceMs) {
-        if (engine.inHand() == 0 && (clients.open() == 0 || patienceMs <= 0)) {
-            halt();
+        if (engine.inHand() > 0) {
+            loop.schedule(() -> endWhenAnswered(LAST_BYTES_MS), LOOK_MS, TimeUnit.MILLISECONDS);
+        } else if (clients.open() > 0 && patienceMs > 0) {
+            loop.schedule(() -> endWhenAnswered(patienceMs - LOOK_MS), LOOK_MS, TimeUnit.MILLISECONDS);
         } else {
-            long leftMs = engine.inHand() == 0 ? patienceMs - LOOK_MS : patienceMs;
-            loop.schedule(() -> endWhenAnswered(leftMs), LOOK_MS, TimeUnit.MILLISECONDS);
+            halt();
         }
     }
 
--- a/src/test/java/umberkeel/node/StopTest.java
+++ b/src/test/java/umberkeel/node/StopTest.java
@@ -114,7 +114,7 @@
         start("active");
         try (Wire client = ready()) {
             rig.whileHeld(() -> {
-                rig.sidecar().loop().execute(rig.sidecar()::closeConnections);
+                rig.sidecar().loop().execute(rig.sidecar()::endConnections);
                 client.send(Rig.post(Rig.id(1), "x")); // the event loop has the close to do before it reads this
             });
             serve(Rig.id(1));
