Bound a call's silence and the wait after it by the 6 s in which a change is told

A call that began to hang just before discovery was well again was given up after 5 s (Discovery.SILENCE_MS), and then the module waited up to 1.5 times a quarter of the settings' asking time (LoadShiftingBalancer.upstreams): 5 + 3.75 s and the connect, over 6 s. After many failures the wait alone was 3.75 s.

ListTimes now holds the one sum, on the protocol's figures: 3 s of silence (a line comes every 2 s), 1 s of wait at most, 0.5 s to connect or what the settings say if that is less, and 1.5 s for discovery to answer.

--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -693,9 +693,9 @@
         if (kind == ListKind.FAILED) {
             if (!subscribeArmed) {
                 subscribeArmed = true; // ever later, at random times: many sidecars ask one service
-                double waitMs = Math.min(settings.contract().askEveryMs(), TICK_MS * (1 << listFailures)) / 4;
+                double longestMs = Math.min(ListTimes.PAUSE_MS, TICK_MS / 4 * (1 << listFailures));
                 listFailures = Math.min(5, listFailures + 1);
-                actions.timer(waitMs * (0.5 + random.nextDouble()), SUBSCRIBE_TIMER);
+                actions.timer(longestMs * (1 + random.nextDouble()) / 2, SUBSCRIBE_TIMER);
             }
             return;
         }
--- a/src/main/java/umberkeel/node/Discovery.java
+++ b/src/main/java/umberkeel/node/Discovery.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 import umberkeel.Balancer.ListKind;
+import umberkeel.ListTimes;
 import umberkeel.node.MemberReader.Update;
 
 /**
@@ -38,8 +39,7 @@
 
     private static final System.Logger LOG = System.getLogger("umberkeel");
     private static final String LIST = "/v1/endpoints";
-    /** While nothing changes, an empty line comes every 2 s: a watch that is silent for longer is dead. */
-    private static final long SILENCE_MS = 5000;
+    private static final long SILENCE_MS = (long) ListTimes.SILENCE_MS;
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 1000;
     /** Of the time in which a drain has to be kept once it is told: it may be told the moment discovery is back. */
@@ -64,7 +64,7 @@
         this.address = config.discovery();
         this.members = config.members();
         this.asked = config.settings().askForList();
-        this.connectTimeoutMs = config.connectTimeoutMs();
+        this.connectTimeoutMs = Math.min(config.connectTimeoutMs(), ListTimes.CONNECT_MS);
         this.longestPauseMs = (long) Math.min(LONGEST_PAUSE_MS, PAUSE_PART * config.drainGraceMs());
         this.engine = engine;
     }
--- a/src/test/java/umberkeel/node/WatchTest.java
+++ b/src/test/java/umberkeel/node/WatchTest.java
@@ -103,12 +103,25 @@
             assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().first());
             long afterMs = (System.nanoTime() - silentNanos) / 1_000_000;
             assertTrue(afterMs >= 2000, "an empty line comes every 2 s, it was not silent yet after " + afterMs);
+            assertTrue(afterMs < 5000, "what it misses counts as told after 6 s, it was silent for " + afterMs);
             watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Rig.chunk(moved(9)));
             awaitFirstIdleEnds(up);
             assertGoesTo(second, 2);
         }
     }
 
+    /** Discovery takes the call and then hangs, as it may just before it is well again. */
+    @Test
+    void aCallThatIsNeverAnsweredLeavesTimeForTheNext() throws Exception {
+        Wire hung = Rig.accept(rig.discovery);
+        long hungNanos = System.nanoTime();
+        hung.read();
+        Rig.accept(rig.discovery).read();
+        long afterMs = (System.nanoTime() - hungNanos) / 1_000_000;
+        assertTrue(afterMs < 5000, "the list has to be in hand after 6 s, the next call came after " + afterMs);
+        assertTrue(hung.ends());
+    }
+
     /** What was written to the old watch is read after the new one has been opened, and may be older. */
     @Test
     void lateLinesOfAnOldWatchUndoNothing() throws Throwable {
