Try a watch again that found no socket, and fail only the attempt that found none

Lines at fault: Discovery.Call took the channel from Bootstrap.connect; where no socket could be made that is a stand-in which never closes, so that ended() was never called, and no watch came again. Upstreams.connect let the exception go through the module's call into Engine.tellOne, which took it for a defect of the module and answered 502 to a request that had never been sent on.

The socket is now made first, in one place for each. Without one a call has ended, and is tried again like any other; an attempt ends as not connected, and the request is refused, or goes elsewhere.

Together with this a watch that seems silent is given up only where nothing from it lies unread.

--- a/src/main/java/umberkeel/node/Discovery.java
+++ b/src/main/java/umberkeel/node/Discovery.java
@@ -3,19 +3,20 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -51,6 +52,7 @@
     private final boolean asked;
     private final double connectTimeoutMs;
     private final long longestPauseMs;
+    private final Supplier<LookingChannel> sockets;
     private final Engine engine;
     /** The latest list from this address, or -1: another address may count in its own way. */
     private long revision = -1;
@@ -59,13 +61,14 @@
     private Call watch;
     private long pauseMs;
 
-    Discovery(EventLoop loop, Config config, Engine engine) {
+    Discovery(EventLoop loop, Config config, Supplier<LookingChannel> sockets, Engine engine) {
         this.loop = loop;
         this.address = config.discovery();
         this.members = config.members();
         this.asked = config.settings().askForList();
         this.connectTimeoutMs = Math.min(config.connectTimeoutMs(), ListTimes.CONNECT_MS);
         this.longestPauseMs = (long) Math.min(LONGEST_PAUSE_MS, PAUSE_PART * config.drainGraceMs());
+        this.sockets = sockets;
         this.engine = engine;
     }
 
@@ -117,7 +120,7 @@
         if (watch != null) {
             Call old = watch;
             watch = null;
-            old.channel.close();
+            old.close();
         }
         if (on) {
             watch = new Call(true);
@@ -162,14 +165,19 @@
         private final boolean watch;
         private final ListStream lists;
         private final InetSocketAddress target = address;
-        private final Channel channel;
+        private final LookingChannel channel;
         private long heardNanos = System.nanoTime();
         private boolean whole;
 
         private Call(boolean watch) {
             this.watch = watch;
             this.lists = new ListStream(this::take);
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            this.channel = opened();
+            if (channel == null) {
+                loop.execute(() -> ended(this)); // once it is known as the watch
+                return;
+            }
+            ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMs))
                     .handler(new ChannelInitializer<Channel>() {
@@ -178,7 +186,6 @@
                             made.pipeline().addLast(new HttpClientCodec(), Call.this);
                         }
                     }).connect(target);
-            channel = connecting.channel();
             connecting.addListener(connected -> {
                 if (connected.isSuccess()) {
                     ask();
@@ -188,6 +195,22 @@
             checkSilence();
         }
 
+        /** A socket for it, or none where that fails, as it does for want of descriptors. */
+        private LookingChannel opened() {
+            try {
+                return sockets.get();
+            } catch (ChannelException e) {
+                LOG.log(System.Logger.Level.WARNING, "can't open a socket for discovery: " + e.getMessage());
+                return null;
+            }
+        }
+
+        private void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
         private void ask() {
             String from = revision >= 0 ? "&from=" + revision : "";
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
@@ -199,10 +222,10 @@
 
         private void checkSilence() {
             long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardNanos);
-            if (silentMs >= SILENCE_MS) {
+            if (silentMs >= SILENCE_MS && channel.isQuiet()) {
                 channel.close();
             } else if (channel.isOpen()) {
-                loop.schedule(this::checkSilence, SILENCE_MS - silentMs, TimeUnit.MILLISECONDS);
+                loop.schedule(this::checkSilence, Math.max(1, SILENCE_MS - silentMs), TimeUnit.MILLISECONDS);
             }
         }
 
--- a/src/main/java/umberkeel/node/Engine.java
+++ b/src/main/java/umberkeel/node/Engine.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
@@ -94,13 +95,13 @@
     private int lastRequest;
     private int lastMember;
 
-    Engine(EventLoop loop, Clock clock, Config config, SocketBudget sockets,
+    Engine(EventLoop loop, Clock clock, Config config, SocketBudget sockets, Supplier<LookingChannel> opened,
             Function<Balancer.Actions, Balancer> module) {
         this.loop = loop;
         this.clock = clock;
         this.settings = config.settings();
         this.slackMs = config.slackMs();
-        this.upstreams = new Upstreams(loop, clock, config, sockets, this);
+        this.upstreams = new Upstreams(loop, clock, config, sockets, opened, this);
         this.balancer = module.apply(this);
         this.balancer.clientRoom(sockets.mostRequests());
     }
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/umberkeel/node/Sidecar.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -34,13 +35,13 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private SocketAddress address;
 
-    private Sidecar(EventLoop loop, Config config) {
+    private Sidecar(EventLoop loop, Config config, Supplier<LookingChannel> opened) {
         this.loop = loop;
         SocketBudget sockets = new SocketBudget(config.sockets());
         Clock clock = new Clock();
-        engine = new Engine(loop, clock, config, sockets,
+        engine = new Engine(loop, clock, config, sockets, opened,
                 actions -> new LoadShiftingBalancer(config.settings(), config.seed(), actions));
-        discovery = new Discovery(loop, config, engine);
+        discovery = new Discovery(loop, config, opened, engine);
         clients = new ClientServer(loop, clock, config.settings(), engine, sockets, discovery::hasList);
         engine.start(discovery);
         discovery.start(config);
@@ -79,9 +80,14 @@
 
     /** One that does all but listen. */
     static Sidecar create(Config config) {
+        return create(config, LookingChannel::new);
+    }
+
+    /** The same, with another source of sockets to connect with. */
+    static Sidecar create(Config config, Supplier<LookingChannel> opened) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        return loop.submit(() -> new Sidecar(loop, config)).syncUninterruptibly().getNow();
+        return loop.submit(() -> new Sidecar(loop, config, opened)).syncUninterruptibly().getNow();
     }
 
     /** From the first request on SIGTERM lets what was taken be answered: {@code onStop} is there before it comes. */
--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -52,7 +52,7 @@
 
     final Upstreams.Pool pool;
     private final Upstreams upstreams;
-    private final LookingChannel channel = new LookingChannel();
+    private final LookingChannel channel;
     private final AnswerDecoder decoder = new AnswerDecoder();
     private Attempt attempt;
     /** Whether the first byte of the attempt may be out. */
@@ -66,9 +66,10 @@
     private int interim;
     private double idleSinceMs;
 
-    UpstreamConnection(Upstreams upstreams, Upstreams.Pool pool) {
+    UpstreamConnection(Upstreams upstreams, Upstreams.Pool pool, LookingChannel channel) {
         this.upstreams = upstreams;
         this.pool = pool;
+        this.channel = channel;
     }
 
     void open(EventLoop loop, InetSocketAddress address, int timeoutMs) {
--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/umberkeel/node/Upstreams.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 
@@ -89,16 +91,19 @@
     private final double connectTimeoutMs;
     private final double idleMs;
     private final SocketBudget sockets;
+    private final Supplier<LookingChannel> opened;
     private final Listener listener;
     private final Map<Integer, Pool> pools = new HashMap<>();
 
-    Upstreams(EventLoop loop, Clock clock, Config config, SocketBudget sockets, Listener listener) {
+    Upstreams(EventLoop loop, Clock clock, Config config, SocketBudget sockets, Supplier<LookingChannel> opened,
+            Listener listener) {
         this.loop = loop;
         this.clock = clock;
         this.reports = new LoadReport(config.settings().reportFields());
         this.connectTimeoutMs = config.connectTimeoutMs();
         this.idleMs = SAFE_IDLE * config.idleMs();
         this.sockets = sockets;
+        this.opened = opened;
         this.listener = listener;
         long sweepMs = Math.max(1, Math.round(idleMs / SWEEPS_IN_IDLE));
         loop.scheduleWithFixedDelay(this::closeLongIdle, sweepMs, sweepMs, TimeUnit.MILLISECONDS);
@@ -252,7 +257,15 @@
     }
 
     private void connect(Pool pool, Attempt attempt) {
-        UpstreamConnection connection = new UpstreamConnection(this, pool);
+        LookingChannel socket;
+        try {
+            socket = opened.get();
+        } catch (ChannelException e) {
+            LOG.log(System.Logger.Level.WARNING, "can't open a socket for an upstream: " + e.getMessage());
+            end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
+            return;
+        }
+        UpstreamConnection connection = new UpstreamConnection(this, pool, socket);
         connection.carry(attempt);
         pool.open.add(connection);
         sockets.upstreamOpened();
--- a/src/test/java/umberkeel/node/EngineTest.java
+++ b/src/test/java/umberkeel/node/EngineTest.java
@@ -41,7 +41,8 @@
     private Engine engine(Function<Balancer.Actions, Balancer> module) throws Exception {
         try (Rig rig = new Rig()) {
             Config config = Config.of(rig.config(null));
-            return loop.submit(() -> new Engine(loop, new Clock(), config, new SocketBudget(1024), module)).get();
+            return loop.submit(() -> new Engine(loop, new Clock(), config, new SocketBudget(1024),
+                    LookingChannel::new, module)).get();
         }
     }
 
--- a/src/test/java/umberkeel/node/Rig.java
+++ b/src/test/java/umberkeel/node/Rig.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -105,6 +106,14 @@
         return this;
     }
 
+    /** The same with another source of sockets to connect with. */
+    Rig start(String known, Supplier<LookingChannel> opened) throws Exception {
+        Config config = Config.of(config(known));
+        sidecar = Sidecar.create(config, opened);
+        sidecar.listen(config);
+        return this;
+    }
+
     /** Does something while the event loop is held, as a shortage of processor time holds it. */
     void whileHeld(Executable action) throws Throwable {
         CountDownLatch holds = new CountDownLatch(1);
