Reckon what a cold server is sent from its budget, so that many sidecars together keep to it

Tested on thirty modules with a simulated clock, uneven traffic and requests of uneven weight, while a part of the fleet falls silent: with the rate as it was, sixteen servers and an overload factor of 1.5, 13.5 mean requests came within 2 s where 12.0 are allowed.

Lines at fault, in LoadShiftingBalancer.hasRoom and TokenBucket: the rate at a cold server was 1.5 times a member's mean whatever the settings' factor is, and whatever the server's size; each sidecar that holds it could save up one request without end, and when the other members fell silent all of these came at once; a heavy request counted as one.

Now the rate is 1.5, or half of the factor where that is less, of what a warm server of its size takes; what is saved lapses after the time in which all sidecars together save the rest of the budget, and no more; and a request counts by its hint of work over the mean. At a factor of 4 the rate is what it was.

--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -56,7 +56,6 @@
         out++;
         host.out++;
         host.attempts.addLast(attempt);
-        host.coldRoom.take();
     }
 
     /** The attempt of this number, or null if there is none. */
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -39,7 +39,7 @@
     private static final double GROW = 0.25; // attempts that a quick answer adds to a window, at most
     private static final double SHRINK = 0.5; // attempts that a slow answer takes off it, at most
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
-    private static final double COLD_RATE = 1.5; // of a member's mean rate, at a cold one
+    private static final double COLD_RATE = 1.5; // of what a warm member of the size is sent, at a cold one
     private static final int MOST_ASKS = 6; // servers asked for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
     private static final double LAST_CALL = 2.5; // typical latencies before the aim, when waiting ends
@@ -66,6 +66,7 @@
     private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
             .thenComparingLong(call -> -call.order));
     private long received;
+    private double meanCostMs; // of the requests that came, by their hints
     private final boolean asks;
     private final List<Call> asking = new ArrayList<>();
     private boolean controlArmed;
@@ -113,6 +114,7 @@
         Call call = new Call(request, view, value, received++, nowMs + aimMs, nowMs + usefulMs);
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
+        meanCostMs += (call.costMs - meanCostMs) / Math.min(SMOOTHING, received);
         extra = Math.min(EXTRA_SAVED, extra + EXTRA);
         armControl();
         if (mustYield(call)) {
@@ -179,6 +181,8 @@
         extra -= call.attempts.isEmpty() ? 0 : 1;
         sent++;
         call.begin(host, nowMs);
+        // A heavy request is a part of the budget that is larger by so much.
+        host.coldRoom.take(meanCostMs > 0 ? call.costMs / meanCostMs : 1);
         host.trials.note(nowMs);
         host.trials(call.view).note(nowMs);
         actions.send(call.id, host.id, call.usefulUntilMs - nowMs);
@@ -429,10 +433,23 @@
 
     private boolean hasRoom(double nowMs, Call call, Host host) {
         double warmth = warmth(nowMs, host);
-        double coldPerMs = COLD_RATE * sentPerMs / members.size() * warmth;
         return host.out < Math.max(1, host.window * warmth) && nowMs >= host.nextSendMs
-                && (warmth >= 1 || call.attempts.isEmpty()
-                && host.coldRoom.has(nowMs, coldPerMs, 1 + coldPerMs * TICK_MS / 4));
+                && (warmth >= 1 || call.attempts.isEmpty() && coldRoom(nowMs, host, warmth));
+    }
+
+    /**
+     * The budget of a cold server is {@code factor} times what it can do, and a warm one of its size takes no more
+     * than it can do. So all sidecars together keep to it if each sends at {@code rate} times its own part of what
+     * a warm one takes, and saves no more than the rest of the budget, {@code factor - rate}: what is saved lapses.
+     */
+    private boolean coldRoom(double nowMs, Host host, double warmth) {
+        Contract contract = settings.contract();
+        double rate = Math.min(COLD_RATE, contract.overloadFactor() / 2);
+        double spanMs = Math.max(TICK_MS / 4, contract.overloadMs());
+        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
+        double part = weights > 0 ? host.listed.weight() / weights : 1.0 / members.size();
+        double lapseMs = spanMs * (contract.overloadFactor() - rate) / rate;
+        return host.coldRoom.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
     }
 
     private void adjustWindow(double nowMs, Host host, ClassView view, double latencyMs) {
--- a/src/main/java/umberkeel/TokenBucket.java
+++ b/src/main/java/umberkeel/TokenBucket.java
@@ -12,14 +12,23 @@
         filledMs = nowMs;
     }
 
-    /** Fills up to now at {@code perMs} and tells whether a token is there. */
-    boolean has(double nowMs, double perMs, double most) {
-        tokens = Math.min(most, tokens + perMs * (nowMs - filledMs));
+    /**
+     * Fills up to now at {@code perMs} and tells whether a token is there. No more is saved than comes in
+     * {@code savedMs}; a single token that is rare is there for {@code lapseMs}, and then the next is waited for.
+     */
+    boolean has(double nowMs, double perMs, double savedMs, double lapseMs) {
+        tokens += perMs * (nowMs - filledMs);
         filledMs = nowMs;
+        double lapsing = perMs * lapseMs;
+        if (lapsing >= 1) {
+            tokens = Math.min(tokens, 1 + perMs * savedMs);
+        } else if (tokens >= 1 + lapsing) {
+            tokens -= Math.floor(tokens - lapsing);
+        }
         return tokens >= 1;
     }
 
-    void take() {
-        tokens -= 1;
+    void take(double some) {
+        tokens -= some;
     }
 }
--- /dev/null
+++ b/src/test/java/umberkeel/ColdFleetTest.java
@@ -0,0 +1,117 @@
+package umberkeel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import umberkeel.Balancer.Contract;
+import umberkeel.Balancer.Effect;
+import umberkeel.Balancer.Goal;
+import umberkeel.Balancer.Group;
+import umberkeel.Balancer.Limits;
+import umberkeel.Balancer.ListKind;
+import umberkeel.Balancer.Outcome;
+import umberkeel.Balancer.RequestClass;
+import umberkeel.Balancer.Settings;
+import umberkeel.Balancer.Status;
+
+/** What thirty sidecars together send to a server that has just started; none knows what the others do. */
+class ColdFleetTest {
+
+    private static final int SIDECARS = 30;
+    private static final Limits LIMITS = new Limits(4, true, true, false, 0);
+    private static final double MEAN_MS = 50; // of work
+    private static final double STEP_MS = 5;
+    private static final double QUIET_MS = 6000; // before the start
+    private static final double COLD_MS = 20_000; // watched after it
+
+    /** One request's arrival at the cold server; work in mean requests. */
+    private record Arrival(double atMs, double work) {
+    }
+
+    /** A part of the fleet falls silent while the server is cold: what goes to it then is what was saved up. */
+    @ParameterizedTest
+    @CsvSource({"10,4,1,0,2", "10,4,2,9,2", "10,4,3,9,1", "24,4,4,18,8", "10,2.5,5,6,2", "8,3,6,7,1", "12,4,7,11,30",
+        "16,1.5,8,10,2", "16,1.5,8,15,2", "16,1.5,9,15,2", "16,1.5,10,15,2", "16,1.5,11,15,8"})
+    void theSumOfAllStaysWithinTheBudget(int servers, double factor, int seed, int silent, double perServerS) {
+        Random random = new Random(seed);
+        RequestClass spec = new RequestClass("class", 600, 2000, 1, 0.5, Effect.SAFE, Group.ALL, 0, false);
+        Contract contract = new Contract(0.12, 24_000, factor, 2000, 10_000);
+        Settings settings = new Settings(List.of(spec), List.of(), SIDECARS, true, true, STEP_MS, 1, List.of(), false,
+                LIMITS, contract, new Goal(1, 0, 0));
+        List<Sidecar> fleet = new ArrayList<>();
+        double[] weights = new double[SIDECARS];
+        double sum = 0;
+        for (int i = 0; i < SIDECARS; i++) {
+            fleet.add(new Sidecar(settings, random.nextLong()));
+            fleet.get(i).ready(servers);
+            weights[i] = -Math.log(1 - random.nextDouble()); // some ask several times the mean
+            sum += weights[i];
+        }
+        double used = 0.6; // of what a warm server can do
+        List<Arrival> arrivals = new ArrayList<>();
+        for (double passed = 0; passed < QUIET_MS + COLD_MS; passed += STEP_MS) {
+            boolean falls = passed > QUIET_MS + COLD_MS / 2;
+            for (int i = 0; i < SIDECARS; i++) {
+                Sidecar sidecar = fleet.get(i);
+                if (passed == QUIET_MS) {
+                    sidecar.list(ListKind.DELTA, Sidecar.upstream(1, Status.READY, sidecar.now));
+                }
+                if (random.nextDouble() < perServerS * servers * weights[i] / sum * STEP_MS / 1000) {
+                    double work = MEAN_MS * Math.exp(random.nextGaussian() - 0.5); // some are several times the mean
+                    int before = sidecar.sent.size();
+                    sidecar.request(0, 0, 2000, false, work);
+                    note(sidecar, before, work, passed, arrivals);
+                }
+                int before = sidecar.sent.size();
+                answer(sidecar, falls ? silent : 0);
+                sidecar.pass(STEP_MS);
+                note(sidecar, before, MEAN_MS, passed, arrivals);
+            }
+        }
+        assertFalse(arrivals.isEmpty(), "it is warmed up");
+        fleet.forEach(sidecar -> assertEquals(List.of(), sidecar.breaches));
+        double capacityPerMs = perServerS / used / 1000;
+        ArrayDeque<Arrival> window = new ArrayDeque<>();
+        double inWindow = 0;
+        for (Arrival next : arrivals) {
+            window.add(next);
+            inWindow += next.work;
+            while (next.atMs - window.peek().atMs > contract.overloadMs()) {
+                inWindow -= window.poll().work;
+            }
+            double age = window.peek().atMs / contract.coldMs();
+            double present = capacityPerMs * (contract.coldFrom() + (1 - contract.coldFrom()) * age);
+            double budget = factor * present * contract.overloadMs();
+            double most = budget + 2 * Math.sqrt(budget) + 2;
+            assertTrue(inWindow <= most, inWindow + " mean requests to " + next.atMs + " ms, allowed " + most);
+        }
+    }
+
+    /** Those sent since to the one that started, after its start. */
+    private static void note(Sidecar sidecar, int before, double work, double passed, List<Arrival> arrivals) {
+        for (Sidecar.Sent sent : sidecar.sent.subList(before, sidecar.sent.size())) {
+            if (sent.upstream == 1 && passed >= QUIET_MS) {
+                arrivals.add(new Arrival(passed - QUIET_MS, work / MEAN_MS));
+            }
+        }
+    }
+
+    /** So many of those behind the one that started say nothing, and that one is slower than the others. */
+    private static void answer(Sidecar sidecar, int silent) {
+        for (Sidecar.Sent attempt : sidecar.out()) {
+            if (attempt.upstream > 1 + silent && sidecar.now - attempt.atMs >= MEAN_MS
+                    || attempt.upstream == 1 && sidecar.now - attempt.atMs >= 2 * MEAN_MS) {
+                sidecar.end(attempt, Outcome.OK);
+            }
+        }
+    }
+}
