See that a client has left also behind much that it has sent and nobody has read

Line at fault: LookingChannel.FURTHEST_BYTES. The last look before a request goes out read 4 KiB ahead at most; a client that had sent more behind its request and then left was taken to be there still, and an upstream got a connection for it. A look now goes beyond the largest request, in a buffer that grows by need; what it has taken and one read does not use up is read in the next.

Forced with a held event loop and 60 kB in front of the close; before, a connection was opened for the request. Also a test that a request whose attempt breaks as its client leaves is not sent again: it held before as well.

--- a/src/main/java/umberkeel/node/LookingChannel.java
+++ b/src/main/java/umberkeel/node/LookingChannel.java
@@ -13,8 +13,9 @@
  */
 final class LookingChannel extends NioSocketChannel {
 
-    /** How far a look goes: what lies behind so much input is not seen. */
-    private static final int FURTHEST_BYTES = 4096;
+    /** How far a look goes: what lies behind so much input, more than any request is, is not seen. */
+    private static final int FURTHEST_BYTES = 1 << 17;
+    private static final int FIRST_BYTES = 1024;
 
     private ByteBuf ahead;
     private boolean ended;
@@ -43,12 +44,13 @@
 
     private void look() {
         if (ahead == null) {
-            ahead = alloc().ioBuffer(FURTHEST_BYTES, FURTHEST_BYTES);
+            ahead = alloc().ioBuffer(FIRST_BYTES, FURTHEST_BYTES);
         }
         int before = ahead.readableBytes();
         try {
             int read = 1;
-            while (read > 0 && ahead.isWritable()) {
+            while (read > 0 && ahead.maxWritableBytes() > 0) {
+                ahead.ensureWritable(Math.min(FIRST_BYTES, ahead.maxWritableBytes()));
                 read = ahead.writeBytes(javaChannel(), ahead.writableBytes());
             }
             ended = read < 0;
@@ -93,6 +95,9 @@
         int bytes = Math.min(ahead.readableBytes(), into.writableBytes());
         into.writeBytes(ahead, bytes);
         letGo();
+        if (ahead != null) {
+            readAhead();
+        }
         return bytes;
     }
 
--- a/src/test/java/umberkeel/node/LastLookTest.java
+++ b/src/test/java/umberkeel/node/LastLookTest.java
@@ -68,6 +68,43 @@
         }
     }
 
+    /** Before its close it has sent much more, which lies unread in front of that. */
+    @Test
+    void aRequestWhoseClientSendsMuchAndLeavesTheQueueIsNotSentOn() throws Throwable {
+        rig.start(one("leaving", upstream));
+        Wire leaving = rig.client();
+        try (Wire watch = rig.watch(); Wire other = rig.client()) {
+            leaving.send(Rig.post(Rig.id(1), "x"));
+            rig.awaitInHand(1);
+            rig.whileHeld(() -> {
+                watch.send(Rig.chunk(Rig.list(2, false, Rig.member("u1", Rig.address(upstream), "active"))));
+                leaving.send(Rig.post(Rig.id(2), "y".repeat(60_000))).close();
+            });
+            rig.awaitInHand(0);
+            other.send(Rig.post(Rig.id(3), "x"));
+            assertEquals(Rig.id(3), Rig.accept(upstream).read().header("X-Txn"));
+        }
+    }
+
+    /** Its first attempt breaks just as it leaves: nothing more goes out for it. */
+    @Test
+    void aRequestWhoseClientLeavesAsItsAttemptFailsIsNotSentAgain() throws Throwable {
+        rig.start(one("active", upstream));
+        Wire leaving = rig.client();
+        try (Wire other = rig.client()) {
+            leaving.send(Rig.get(Rig.id(1)));
+            Wire up = Rig.accept(upstream);
+            up.read();
+            rig.whileHeld(() -> {
+                up.reset();
+                leaving.close();
+            });
+            rig.awaitInHand(0);
+            other.send(Rig.post(Rig.id(2), "x"));
+            assertEquals(Rig.id(2), Rig.accept(upstream).read().header("X-Txn"));
+        }
+    }
+
     /** What a look finds on the client's connection is no close, and is not lost. */
     @Test
     void aClientThatSendsMoreHasNotLeft() throws Throwable {
@@ -77,7 +114,7 @@
             rig.awaitInHand(1);
             rig.whileHeld(() -> {
                 watch.send(Rig.chunk(Rig.list(2, false, Rig.member("u1", Rig.address(upstream), "active"))));
-                client.send(Rig.post(Rig.id(2), "y".repeat(3000)));
+                client.send(Rig.post(Rig.id(2), "y".repeat(60_000)));
             });
             for (int i = 1; i <= 2; i++) {
                 Wire up = Rig.accept(upstream);
