Log what changes about an upstream, not each one that is listed

Only moves, restarts, drains and returns are logged now.

SizeTest reads, changes, empties, moves and serves a list of 1,024 upstreams for one of 1,024 sidecars.

--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/umberkeel/node/Upstreams.java
@@ -118,7 +118,7 @@
         }
         Pool pool = pools.computeIfAbsent(id, unused -> new Pool());
         boolean another = !member.address().equals(pool.address) || member.startedMs() != pool.startedMs;
-        if (another || member.status() != Status.READY) {
+        if (pool.address != null && another || pool.leaving != (member.status() != Status.READY)) {
             LOG.log(System.Logger.Level.INFO, "upstream " + id + " is " + member.id() + " at " + member.address()
                     + ", " + member.status());
         }
