--- a/src/main/java/umberkeel/TokenBucket.java
+++ b/src/main/java/umberkeel/TokenBucket.java
@@ -14,7 +14,7 @@
 
     /**
      * Fills up to now at {@code perMs} and tells whether a token is there. No more is saved than comes in
-     * {@code savedMs}; a single token that is rare is there for {@code lapseMs}, and then the next is waited for.
+     * {@code savedMs}; a single token that is rare lapses after {@code lapseMs}, and the next is waited for.
      */
     boolean has(double nowMs, double perMs, double savedMs, double lapseMs) {
         tokens += perMs * (nowMs - filledMs);
