--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -66,7 +66,8 @@
     private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
             .thenComparingLong(call -> -call.order));
     private long received;
-    private double meanCostMs; // of the requests that came, by their hints
+    private double meanCostMs; // of the requests that came with a hint
+    private long hinted;
     private final boolean asks;
     private final List<Call> asking = new ArrayList<>();
     private boolean controlArmed;
@@ -114,7 +115,9 @@
         Call call = new Call(request, view, value, received++, nowMs + aimMs, nowMs + usefulMs);
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
-        meanCostMs += (call.costMs - meanCostMs) / Math.min(SMOOTHING, received);
+        if (call.costMs > 0) {
+            meanCostMs += (call.costMs - meanCostMs) / Math.min(SMOOTHING, ++hinted);
+        }
         extra = Math.min(EXTRA_SAVED, extra + EXTRA);
         armControl();
         if (mustYield(call)) {
@@ -182,7 +185,7 @@
         sent++;
         call.begin(host, nowMs);
         // A heavy request is a part of the budget that is larger by so much.
-        host.coldRoom.take(meanCostMs > 0 ? call.costMs / meanCostMs : 1);
+        host.coldRoom.take(call.costMs > 0 ? call.costMs / meanCostMs : 1);
         host.trials.note(nowMs);
         host.trials(call.view).note(nowMs);
         actions.send(call.id, host.id, call.usefulUntilMs - nowMs);
--- a/src/test/java/umberkeel/ColdFleetTest.java
+++ b/src/test/java/umberkeel/ColdFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -96,6 +97,28 @@
         }
     }
 
+    /** It is all that is left: what goes to it is what its budget allows, not what is asked for. */
+    @Test
+    void requestsWithoutAHintCountAsMuchAsTheOthers() {
+        Sidecar sidecar = new Sidecar(Samples.safe(), 1);
+        sidecar.ready(2);
+        int sentBefore = 0;
+        for (int i = 0; i < 100; i++) {
+            if (i == 50) {
+                sidecar.list(ListKind.FULL, Sidecar.upstream(1, Status.READY, sidecar.now));
+                sentBefore = sidecar.sent.size();
+            }
+            sidecar.request(0, 0, 4000, false, i < 50 ? MEAN_MS : 0);
+            for (double passed = 0; passed < 100; passed += STEP_MS) {
+                sidecar.pass(STEP_MS);
+                answer(sidecar, 0);
+            }
+        }
+        int sent = sidecar.sent.size() - sentBefore;
+        assertTrue(sent > 0 && sent < 25, sent + " of 50 to a server that is at a quarter to five eighths");
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
     /** Those sent since to the one that started, after its start. */
     private static void note(Sidecar sidecar, int before, double work, double passed, List<Arrival> arrivals) {
         for (Sidecar.Sent sent : sidecar.sent.subList(before, sidecar.sent.size())) {
