--- a/src/test/java/umberkeel/node/DescriptorTest.java
+++ b/src/test/java/umberkeel/node/DescriptorTest.java
@@ -42,16 +42,6 @@
         return Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active"));
     }
 
-    private void assertServed(int id) throws Exception {
-        try (Wire client = rig.client()) {
-            client.send(Rig.post(Rig.id(id), "x"));
-            Wire up = Rig.accept(upstream);
-            assertEquals(Rig.id(id), up.read().header("X-Txn"));
-            up.send(Rig.answer("200 OK", "", "Connection: close"));
-            assertEquals(200, client.read().status());
-        }
-    }
-
     @Test
     void aWatchThatFindsNoSocketIsTriedAgain() throws Exception {
         rig.start(list(), this::opened);
@@ -61,7 +51,7 @@
         rig.await(() -> rig.sidecar().watchPauseMs() > 0); // the first try has found none
         out.set(false);
         Rig.accept(rig.discovery).read();
-        assertServed(1);
+        rig.assertServed(1, upstream);
     }
 
     @Test
@@ -74,7 +64,7 @@
             assertEquals(503, client.read().status(), "it never ran: coming again is harmless");
         }
         out.set(false);
-        assertServed(2);
+        rig.assertServed(2, upstream);
     }
 
     /** Clients that say nothing more hold all that they may: discovery and upstreams have their own part. */
@@ -90,7 +80,7 @@
         rig.await(() -> rig.sidecar().clients() >= room / 2);
         watch.close();
         Rig.accept(rig.discovery).read();
-        assertServed(1);
+        rig.assertServed(1, upstream);
         for (Wire client : resting) {
             client.close();
         }
--- a/src/test/java/umberkeel/node/Rig.java
+++ b/src/test/java/umberkeel/node/Rig.java
@@ -1,5 +1,6 @@
 package umberkeel.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -192,6 +193,17 @@
         return Wire.to((InetSocketAddress) sidecar.address());
     }
 
+    /** A request of this number goes to this upstream, and what that answers comes back. */
+    void assertServed(int number, ServerSocket upstream) throws IOException {
+        try (Wire client = client()) {
+            client.send(post(id(number), "x"));
+            Wire up = accept(upstream);
+            assertEquals(id(number), up.read().header("X-Txn"));
+            up.send(answer("200 OK", "", "Connection: close"));
+            assertEquals(200, client.read().status());
+        }
+    }
+
     static Wire accept(ServerSocket socket) throws IOException {
         return new Wire(socket.accept());
     }
--- a/src/test/java/umberkeel/node/SizeTest.java
+++ b/src/test/java/umberkeel/node/SizeTest.java
@@ -1,7 +1,5 @@
 package umberkeel.node;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,16 +19,6 @@
         return members.toArray(new String[0]);
     }
 
-    private static void assertServed(int id, Rig rig, ServerSocket upstream) throws Exception {
-        try (Wire client = rig.client()) {
-            client.send(Rig.post(Rig.id(id), "x"));
-            Wire up = Rig.accept(upstream);
-            assertEquals(Rig.id(id), up.read().header("X-Txn"));
-            up.send(Rig.answer("200 OK", "", "Connection: close"));
-            assertEquals(200, client.read().status());
-        }
-    }
-
     /** They come as a whole list, change all at once, move, and come again, for a sidecar among as many others. */
     @Test
     void aThousandUpstreamsAreReadChangedAndServed() throws Exception {
@@ -41,13 +29,13 @@
             Wire watch = rig.watch();
             watch.send(Rig.chunk(Rig.list(1, true, members("active", first))));
             rig.await(() -> rig.sidecar().engine().listed() == UPSTREAMS);
-            assertServed(1, rig, first);
+            rig.assertServed(1, first);
             watch.send(Rig.chunk(Rig.list(2, false, members("leaving", first))));
             watch.send(Rig.chunk(Rig.list(3, false, members("left", first))));
             rig.await(() -> rig.sidecar().engine().listed() == 0);
             watch.send(Rig.chunk(Rig.list(4, false, members("active", second))));
             rig.await(() -> rig.sidecar().engine().listed() == UPSTREAMS);
-            assertServed(2, rig, second);
+            rig.assertServed(2, second);
         }
     }
 }
