--- a/src/test/java/umberkeel/RepositoryTest.java
+++ b/src/test/java/umberkeel/RepositoryTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.URL;
 import java.net.URLClassLoader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -64,6 +65,21 @@
         return Stream.of(list.group(1).split(",")).map(name -> Path.of(name.strip().replace("\"", ""))).toList();
     }
 
+    /** The first run of one compiled to {@code invokedynamic} spins classes for a quarter of a second of a slow core. */
+    @Test
+    void noStringConcatenationGeneratesClassesAtRunTime() throws IOException {
+        List<Path> generating = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(Path.of("target/classes"))) {
+            for (Path file : files.filter(name -> name.toString().endsWith(".class")).toList()) {
+                String constants = Files.readString(file, StandardCharsets.ISO_8859_1);
+                if (constants.contains("java/lang/invoke/StringConcatFactory")) {
+                    generating.add(file);
+                }
+            }
+        }
+        assertEquals(List.of(), generating);
+    }
+
     @Test
     void theExampleOfTheReadmeCompilesAndRuns(@TempDir Path dir) throws Exception {
         Matcher block = Pattern.compile("```java\n(.*?)```", Pattern.DOTALL)
