Set up no flight recorder events for Netty's allocator on the event loop

Cause: Netty's allocator reports chunks and buffers as flight recorder events, also where nothing is recorded. In class-load logs of sidecars that served, 26 of 30 loaded FreeChunkEvent and ReallocateBufferEvent and generated handlers for them in jdk.jfr, on the event loop, when the first chunk was let go: under load. Class archives refuse event classes ("Skipping ...: JFR event class").

Change: Main sets io.netty.jfr.enabled=false before anything else, so that it holds for each command, the one that dumps the archive included. A test of the packaged jar runs it as the deploy file says, with a log of the classes that are loaded, and takes it through served and troubled requests, broken and silent watches, a reload and SIGTERM (TrainingSession and its peers and traffic).

--- a/src/main/java/umberkeel/Main.java
+++ b/src/main/java/umberkeel/Main.java
@@ -17,10 +17,15 @@
  */
 public final class Main {
 
+    /** Netty's switch for the flight recorder events of its allocator. */
+    private static final String NETTY_RECORDER_EVENTS = "io.netty.jfr.enabled";
+
     private Main() {
     }
 
     public static void main(String[] args) throws Exception {
+        // Before Netty is loaded: it would set them up on the event loop, at the first chunk that it lets go.
+        System.setProperty(NETTY_RECORDER_EVENTS, "false");
         if (args.length == 1 && args[0].equals("serve")) {
             Sidecar.main(System.getenv());
         } else if (args.length == 1 && args[0].equals("benchlink")) {
--- /dev/null
+++ b/src/test/java/umberkeel/node/ServedClassesIT.java
@@ -0,0 +1,84 @@
+package umberkeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import umberkeel.node.TrainingSession.Membership;
+
+/**
+ * The packaged sidecar, started as the deploy file says, with its clients, upstreams and discovery in trouble. What it
+ * loads from the jar or generates while it serves stands in the way of requests on its event loop.
+ */
+class ServedClassesIT {
+
+    private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
+    /** A class of the flight recorder, or an event of Netty's allocator. */
+    private static final Pattern RECORDER_EVENT = Pattern.compile("^(jdk\\.jfr\\.|io\\.netty\\.buffer\\.\\w+Event )");
+    /** The kinds of answers that show that the troubled paths were taken. */
+    private static final Set<Integer> STATUSES = Set.of(200, 400, 404, 405, 408, 409, 413, 417, 431, 502, 503);
+
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @EnumSource
+    void noFlightRecorderEventIsSetUpWhileServing(Membership membership) throws Exception {
+        List<String> loaded = loadedWhileServing(membership);
+        assertTrue(loaded.size() > 0, "classes are logged");
+        assertEquals("", String.join("\n", loaded.stream().filter(RECORDER_EVENT.asPredicate()).toList()));
+    }
+
+    /** The virtual machine's log of the classes that were loaded from readiness to the end, line by line. */
+    private List<String> loadedWhileServing(Membership membership) throws Exception {
+        Path log = folder.resolve("classes.log");
+        Path output = folder.resolve("output.log");
+        try (TrainingSession session = new TrainingSession(membership, folder)) {
+            Process sidecar = start(session, log, output);
+            try {
+                session.awaitReady();
+                long before = Files.readAllLines(log).size();
+                Set<Integer> statuses = session.play();
+                assertTrue(statuses.containsAll(STATUSES), statuses + " came");
+                session.reload(sidecar.pid());
+                TrainingSession.signal(sidecar.pid(), "TERM");
+                assertTrue(sidecar.waitFor(Wire.PATIENCE_MS, TimeUnit.MILLISECONDS), "it ends by SIGTERM");
+                assertEquals(0, sidecar.exitValue(), () -> read(output));
+                return Files.readAllLines(log).stream().skip(before).toList();
+            } finally {
+                sidecar.destroyForcibly();
+            }
+        }
+    }
+
+    /** The command of the deploy file; all that is added is a log of the classes that are loaded. */
+    private static Process start(TrainingSession session, Path log, Path output) throws IOException {
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        assertTrue(run.find(), "the deploy file says how to run a sidecar");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true)
+                .redirectOutput(output.toFile());
+        builder.environment().putAll(session.environment());
+        builder.environment().put("JAVA_TOOL_OPTIONS", "-Xlog:class+load:file=" + log + ":none");
+        return builder.start();
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            return e.getMessage();
+        }
+    }
+}
