Take the close by an upstream for the end of an answer that has no length

After a POST an upstream sends "HTTP/1.1 200 OK", an empty line and a body, and closes: the client got 502. By RFC 9112 6.3 the close is the end of such an answer; a reset is none.

Cause: the close future of a channel runs before channelInactive, and the decoder completes such an answer only in the latter. UpstreamConnection.closed(), run by the close future, had ended the attempt as reset by then. Ruled out: the decoder and the aggregator, which pass the whole answer on; ANSWER_MS, since the 502 came at once. To end the attempt in channelInactive instead would not do: the decoder completes the answer there behind a reset as well, and behind a close on this side.

Change: the channel is told of a half closure (ALLOW_HALF_CLOSURE). A close by the upstream then comes as an event, which makes the decoder complete the answer before the connection is closed; a reset comes as an exception and a close on this side as neither, and both end the attempt by the close future, as before. A head that is cut short by a close still counts as a reset. While the connection stays open nothing tells whether such an answer is whole: it is given up ANSWER_MS after its first byte, like any answer in part.

Result: CloseDelimitedAnswerTest ends answers by a close and by a reset before, in, between and behind head and body, behind what has been read and, with the event loop held, together with bytes that have not.

--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
@@ -75,6 +76,7 @@
     void open(EventLoop loop, InetSocketAddress address, int timeoutMs) {
         ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -151,12 +153,16 @@
     }
 
     private void answered(FullHttpResponse response) {
+        if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
+            close(); // in its head
+            return;
+        }
         if (response.decoderResult().isFailure() || !attempt.written
                 || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             spoil();
             return;
         }
-        reusable = HttpUtil.isKeepAlive(response);
+        reusable = HttpUtil.isKeepAlive(response) && !channel.isInputShutdown();
         outcome = outcome(response);
         report = upstreams.reports().read(response.headers().get(LOAD_REPORT));
         answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? new Answer(response.status().code(), 0,
@@ -246,6 +252,18 @@
         channel.close();
     }
 
+    /**
+     * The upstream has closed the connection. The decoder has been told before: an answer that ends by the close is
+     * whole and has been passed on by now. A reset, and a close on this side, never come here.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            close();
+        }
+        super.userEventTriggered(context, event);
+    }
+
     private void closed() {
         upstreams.closed(this);
         if (attempt != null && outcome != null) {
--- /dev/null
+++ b/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
@@ -0,0 +1,209 @@
+package umberkeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Answers with neither a length nor chunks: the close of the connection is their end (RFC 9112, 6.3), a reset is not.
+ * Each ends both behind what has been read already and together with bytes that have not.
+ */
+class CloseDelimitedAnswerTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+    private static final String BODY = "all of it";
+
+    /** How a peer ends its connection. */
+    private enum End {
+        CLOSE {
+            @Override
+            void of(Wire connection) throws IOException {
+                connection.close();
+            }
+        },
+        RESET {
+            @Override
+            void of(Wire connection) throws IOException {
+                connection.reset();
+            }
+        };
+
+        abstract void of(Wire connection) throws IOException;
+    }
+
+    /** Counts what the event loop has read from upstreams: discovery says nothing in these tests. */
+    @ChannelHandler.Sharable
+    private static final class ReadCounter extends ChannelInboundHandlerAdapter {
+        private final AtomicLong bytes = new AtomicLong();
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            bytes.addAndGet(((ByteBuf) message).readableBytes());
+            context.fireChannelRead(message);
+        }
+    }
+
+    private final ReadCounter counter = new ReadCounter();
+    private Rig rig;
+    private ServerSocket upstream;
+
+    @BeforeEach
+    void open() throws Exception {
+        rig = new Rig();
+        upstream = rig.listener();
+        rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active")), this::counted);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        rig.close();
+    }
+
+    private LookingChannel counted() {
+        LookingChannel channel = new LookingChannel();
+        channel.pipeline().addFirst(counter);
+        return channel;
+    }
+
+    /** Sends a request that may not be repeated, and returns the upstream's end once that has read it. */
+    private Wire request(Wire client, int number) throws IOException {
+        client.send(Rig.post(Rig.id(number), "x"));
+        Wire up = Rig.accept(upstream);
+        assertEquals(Rig.id(number), up.read().header("X-Txn"));
+        return up;
+    }
+
+    /** The first part is read on its own, the rest in one go with the connection's end. */
+    private void answer(Wire up, String readBefore, String readWithEnd, End end) throws Throwable {
+        long expected = counter.bytes.get() + readBefore.length();
+        up.send(readBefore);
+        rig.await(() -> counter.bytes.get() == expected);
+        rig.whileHeld(() -> end.of(up.send(readWithEnd)));
+    }
+
+    /** Each way to divide an answer into what is read before its end, and with it. */
+    private static Stream<Arguments> divisions() {
+        String answer = HEAD + BODY;
+        int half = HEAD.length() + BODY.length() / 2;
+        return Stream.of(0, HEAD.length() / 2, HEAD.length(), half, answer.length())
+                .map(at -> Arguments.of(answer.substring(0, at), answer.substring(at)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("divisions")
+    void aCloseEndsTheAnswer(String readBefore, String readWithEnd) throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), readBefore, readWithEnd, End.CLOSE);
+            Wire.Message answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals(BODY, answer.body());
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("divisions")
+    void aResetBehindTheLastByteIsNoEnd(String readBefore, String readWithEnd) throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), readBefore, readWithEnd, End.RESET);
+            assertEquals(502, client.read().status());
+        }
+    }
+
+    private static Stream<Arguments> partsOfAnAnswer() {
+        List<String> parts = List.of("", "HTTP/1.1 200 OK\r\nX-Pa", HEAD, HEAD + BODY.substring(1));
+        return parts.stream().flatMap(part -> Stream.of(Arguments.of(part, ""), Arguments.of("", part)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("partsOfAnAnswer")
+    void aResetOnTheWayIsNoEnd(String readBefore, String readWithEnd) throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), readBefore, readWithEnd, End.RESET);
+            assertEquals(502, client.read().status());
+        }
+    }
+
+    /** What is not delimited by the close is cut short by one. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "",
+        "HTTP/1.1 200 OK\r\nX-Pa",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nall of it",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n"})
+    void aCloseEndsNoOtherAnswer(String part) throws Throwable {
+        for (int held = 0; held < 2; held++) {
+            try (Wire client = rig.client()) {
+                Wire up = request(client, held);
+                answer(up, held == 0 ? part : "", held == 0 ? "" : part, End.CLOSE);
+                assertEquals(502, client.read().status());
+            }
+        }
+    }
+
+    @Test
+    void anEmptyAnswerIsWholeAsWell() throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), HEAD, "", End.CLOSE);
+            Wire.Message answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals("", answer.body());
+        }
+    }
+
+    /** It says that nothing ran, and is believed: the request goes out again. */
+    @Test
+    void aRequestThatIsTurnedAwayWithoutALengthIsSentAgain() throws Throwable {
+        try (Wire client = rig.client()) {
+            String turnedAway = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\n\r\nfull";
+            answer(request(client, 1), "", turnedAway, End.CLOSE);
+            Wire again = Rig.accept(upstream);
+            assertEquals(Rig.id(1), again.read().header("X-Txn"));
+            again.send(Rig.answer("200 OK", "served"));
+            assertEquals("served", client.read().body());
+        }
+    }
+
+    /** Its connection has ended one way only so far: what is written to it would be lost. */
+    @Test
+    void theNextRequestGoesOverAnotherConnection() throws Throwable {
+        try (Wire client = rig.client()) {
+            Wire first = request(client, 1);
+            answer(first, HEAD, BODY, End.CLOSE);
+            assertEquals(BODY, client.read().body());
+            rig.awaitRested();
+            Wire second = request(client, 2);
+            second.send(Rig.answer("200 OK", "two"));
+            assertEquals("two", client.read().body());
+        }
+    }
+
+    /** While the connection stays open nothing tells whether more is to come: it is given up as any other in part. */
+    @Test
+    void anAnswerThatIsNeverEndedIsNotWaitedFor() throws Throwable {
+        try (Wire client = rig.client()) {
+            Wire up = request(client, 1);
+            up.send(HEAD + BODY);
+            assertEquals(502, client.read().status());
+            assertTrue(up.ends());
+        }
+    }
+}
