Count an answer in a transfer coding other than chunked as one that cannot be read

Line at fault: UpstreamConnection.answered() looked at the chunks alone, which the decoder and the aggregator undo.

Change: what is left of Transfer-Encoding by then, other than identity, makes the attempt one that failed and may have run, as for any answer that cannot be read.

Result: both cases of CloseDelimitedAnswerTest.anAnswerInAnUnknownCodingCannotBeRead fail without the mend (200 for 502) and pass with it; answers in chunks and with identity are read before and after.

--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -157,7 +158,7 @@
             close(); // in its head
             return;
         }
-        if (response.decoderResult().isFailure() || !attempt.written
+        if (response.decoderResult().isFailure() || !attempt.written || isCoded(response)
                 || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             spoil();
             return;
@@ -169,6 +170,12 @@
                 response.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(response.content())) : null;
     }
 
+    /** Whether its body is in a transfer coding other than chunked, which has been undone by now. */
+    private static boolean isCoded(FullHttpResponse response) {
+        return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(coding -> !HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(coding.trim()));
+    }
+
     /**
      * A 503 or 504 proves that nothing ran only where the upstream says so. Where the fault is the request's, no other
      * upstream would serve it: it ends with the upstream's own word, which says nothing against the upstream.
--- a/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
+++ b/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
@@ -169,6 +169,25 @@
         }
     }
 
+    /** What was made of the body can't be undone: the client would get something else than the upstream's answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"gzip\r\n\r\nall of it", "gzip, chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n"})
+    void anAnswerInAnUnknownCodingCannotBeRead(String codingAndBody) throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codingAndBody, End.CLOSE);
+            assertEquals(502, client.read().status());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n", "identity\r\n\r\nall of it"})
+    void anAnswerInAKnownCodingIsRead(String codingAndBody) throws Throwable {
+        try (Wire client = rig.client()) {
+            answer(request(client, 1), "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codingAndBody, End.CLOSE);
+            assertEquals(BODY, client.read().body());
+        }
+    }
+
     /** It says that nothing ran, and is believed: the request goes out again. */
     @Test
     void aRequestThatIsTurnedAwayWithoutALengthIsSentAgain() throws Throwable {
