Wait for the sidecar's end when the rig of the tests closes

Seen once in some twenty runs: CloseDelimitedAnswerTest.aCloseEndsTheAnswer failed, since the first message that its upstream read had no X-Txn. Nothing but a sidecar connects there, and the only message of one without it is the call for the watch. Line at fault: Rig.close() began the end of the sidecar and closed the listeners without waiting for it. The sidecar opened its watch again on the port of the discovery that had gone, which may by then be that of an upstream in the next rig. The crossing of the ports was not seen again in 18 runs with six at a time; that the sidecar outlives the rig is certain.

Result: RigTest fails with the old lines (the event loop goes on behind the close) and passes with the new one.

--- a/src/test/java/umberkeel/node/Rig.java
+++ b/src/test/java/umberkeel/node/Rig.java
@@ -238,10 +238,13 @@
         return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
     }
 
+    /** Waits for the sidecar's end: it would go on calling ports that the next rig may be given. */
     @Override
     public void close() throws IOException {
         if (sidecar != null) {
             sidecar.halt();
+            boolean ended = sidecar.loop().terminationFuture().awaitUninterruptibly(Wire.PATIENCE_MS);
+            assertTrue(ended, "the sidecar goes on");
         }
         for (ServerSocket socket : sockets) {
             socket.close();
