Read what has come before an answer counts as stopped

Line at fault: the task in UpstreamConnection.channelReadComplete() went by the clock alone. Where the event loop is late, it may fire before the read of bytes and a close that came in time, and the answer is 502 in place of 200. Ruled out: a loop held in its tasks, since it reads before it comes to the timers again; it has to be late between its reads and its timers.

Change: when the time is over, two more reads come before the answer is given up, one for the bytes and one for the close behind them. One that has really stopped is given up within the same turn of the loop or two.

Result: CloseDelimitedAnswerTest.anAnswerThatHasEndedInTimeIsNotGivenUp holds the loop right behind the first read of an answer until the timer is due, while the rest and the close come. Both cases fail without the mend (502 for 200) and pass with it. An answer that is never ended is still given up, before and after.

--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -51,6 +51,8 @@
     private static final int MOST_INTERIM = 16;
     /** From the first byte of an answer to its last: one that stops in between is spoilt. */
     private static final long ANSWER_MS = 500;
+    /** After that time: one read for the last bytes, and one for the close behind them. */
+    private static final int LAST_READS = 2;
 
     final Upstreams.Pool pool;
     private final Upstreams upstreams;
@@ -213,15 +215,23 @@
             upstreams.end(attempt, outcome, report, answer);
         } else if (attempt != null && decoder.isPartial()) {
             Attempt begun = attempt;
-            context.executor().schedule(() -> {
-                if (begun == attempt) {
-                    spoil();
-                }
-            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, LAST_READS), ANSWER_MS, TimeUnit.MILLISECONDS);
         }
         context.fireChannelReadComplete();
     }
 
+    /** The clock alone does not tell: what came in time may lie unread. A timer set now fires behind the next read. */
+    private void spoilUnlessRead(Attempt begun, int reads) {
+        if (begun != attempt) {
+            return;
+        }
+        if (reads == 0) {
+            spoil();
+        } else {
+            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, reads - 1), 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     // ---- Its end.
 
     /** The attempt has ended: back to the pool if the answer left the connection clean, else closed. */
--- a/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
+++ b/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
@@ -30,6 +32,7 @@
 
     private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
     private static final String BODY = "all of it";
+    private static final int ANSWER_MS = 500; // that an answer has from its first byte to its last
 
     /** How a peer ends its connection. */
     private enum End {
@@ -61,6 +64,20 @@
         }
     }
 
+    /** Holds the event loop right behind the first read from an upstream, before any timer that has become due. */
+    @ChannelHandler.Sharable
+    private static final class HoldBehindFirstRead extends ChannelInboundHandlerAdapter {
+        private final CountDownLatch holds = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) throws InterruptedException {
+            context.fireChannelReadComplete();
+            holds.countDown();
+            released.await();
+        }
+    }
+
     private final ReadCounter counter = new ReadCounter();
     private Rig rig;
     private ServerSocket upstream;
@@ -78,8 +95,12 @@
     }
 
     private LookingChannel counted() {
+        return with(counter);
+    }
+
+    private static LookingChannel with(ChannelHandler handler) {
         LookingChannel channel = new LookingChannel();
-        channel.pipeline().addFirst(counter);
+        channel.pipeline().addFirst(handler);
         return channel;
     }
 
@@ -87,7 +108,8 @@
     private Wire request(Wire client, int number) throws IOException {
         client.send(Rig.post(Rig.id(number), "x"));
         Wire up = Rig.accept(upstream);
-        assertEquals(Rig.id(number), up.read().header("X-Txn"));
+        Wire.Message sent = up.read();
+        assertEquals(Rig.id(number), sent.header("X-Txn"), sent.first());
         return up;
     }
 
@@ -215,6 +237,34 @@
         }
     }
 
+    /** The timer that gives it up is due, but its last byte and its end have come in time: they lie unread. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "it"})
+    void anAnswerThatHasEndedInTimeIsNotGivenUp(String unread) throws Throwable {
+        HoldBehindFirstRead hold = new HoldBehindFirstRead();
+        try (Rig held = new Rig(); ServerSocket listener = held.listener()) {
+            held.start(Rig.list(1, true, Rig.member("u1", Rig.address(listener), "active")), () -> with(hold));
+            try (Wire client = held.client()) {
+                client.send(Rig.post(Rig.id(1), "x"));
+                Wire up = Rig.accept(listener);
+                up.read();
+                up.send(HEAD + "all of ");
+                hold.holds.await();
+                long heldNanos = System.nanoTime();
+                up.send(unread).close();
+                while (System.nanoTime() - heldNanos < TimeUnit.MILLISECONDS.toNanos(ANSWER_MS)) {
+                    Thread.onSpinWait();
+                }
+                hold.released.countDown();
+                Wire.Message answer = client.read();
+                assertEquals(200, answer.status());
+                assertEquals("all of " + unread, answer.body());
+            } finally {
+                hold.released.countDown();
+            }
+        }
+    }
+
     /** While the connection stays open nothing tells whether more is to come: it is given up as any other in part. */
     @Test
     void anAnswerThatIsNeverEndedIsNotWaitedFor() throws Throwable {
