Close a client's connection when an answer on it could not be written

Line at fault: ClientConnection.flushAnswers() called written() whether the write had succeeded or not. Where the client has gone nothing came of it: Netty closes the channel before it tells of the failure, and the end of the connection is handled in channelInactive. But a write that fails before the socket, as in the encoder or for want of memory, leaves the connection open. A client that waits for one answer then waits without end, and one that sends on takes the next answer for that one.

Change: a write that fails closes the connection, so that the client can tell.

Result: FailedWriteTest lets the first of two answers fail next to the socket. Without the mend the client reads the second answer (503) as its first; with it the connection ends with nothing to read.

--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/umberkeel/node/ClientConnection.java
@@ -210,7 +210,13 @@
             deaf |= last; // what came behind it would have no answer
             HttpUtil.setKeepAlive(first.response, !last);
             writesSinceMs = writing++ == 0 ? server.nowMs() : writesSinceMs;
-            channel.writeAndFlush(first.response).addListener(written -> written(last));
+            channel.writeAndFlush(first.response).addListener(out -> {
+                if (out.isSuccess()) {
+                    written(last);
+                } else {
+                    close(); // the client would take the next answer for this one
+                }
+            });
         }
         if (owed.isEmpty() && sendsSinceMs == 0) {
             restsSinceMs = server.nowMs();
