--- a/src/test/java/umberkeel/node/WatchTest.java
+++ b/src/test/java/umberkeel/node/WatchTest.java
@@ -81,6 +81,44 @@
         }
     }
 
+    /** The list and the end of its connection are read in one go: the list stands, and the watch is opened anew. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aListWithNoLengthIsReadUpToTheEndOfItsConnection(boolean reset) throws Throwable {
+        Wire up = idleAtFirst(1);
+        Wire watch = Rig.accept(rig.discovery);
+        watch.read();
+        rig.whileHeld(() -> {
+            watch.send("HTTP/1.1 200 OK\r\n\r\n" + moved(8));
+            if (reset) {
+                watch.reset();
+            } else {
+                watch.close();
+            }
+        });
+        assertEquals("GET /v1/endpoints?watch=1&from=8 HTTP/1.1", Rig.accept(rig.discovery).read().first());
+        awaitFirstIdleEnds(up);
+        assertGoesTo(second, 2);
+    }
+
+    /** It ends in the middle of an object: nothing of that is taken, and nothing is held against discovery. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aListWithNoLengthThatIsCutShortIsAskedForAgain(boolean reset) throws Throwable {
+        Wire watch = Rig.accept(rig.discovery);
+        watch.read();
+        rig.whileHeld(() -> {
+            watch.send("HTTP/1.1 200 OK\r\n\r\n" + moved(8).substring(0, moved(8).length() - 1));
+            if (reset) {
+                watch.reset();
+            } else {
+                watch.close();
+            }
+        });
+        assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", Rig.accept(rig.discovery).read().first());
+        rig.assertServed(1, first);
+    }
+
     /** The empty line that comes while nothing changes shows that the rest of an object will not. */
     @ParameterizedTest
     @ValueSource(strings = {"{\"revision\":8,", "{\"revision\":8,\"complete\":false,\"members\":[", "]", "8", "{]"})
