Test that a look at an upstream's connection hides neither a close nor a reset

The bytes are read from the look's buffer, the close is found again by the next read, and the Java channel itself remembers a reset. Today the program looks only at connections that carry no attempt.

CloseDelimitedAnswerTest.aLookHidesNoEnd looks, on the event loop, until it has seen the end of a connection with an answer that has no length, and only then lets the loop read: a close brings 200, a reset 502, with the answer divided anywhere.

--- a/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
+++ b/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
@@ -6,9 +6,12 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
@@ -79,6 +82,7 @@
     }
 
     private final ReadCounter counter = new ReadCounter();
+    private final List<LookingChannel> opened = new CopyOnWriteArrayList<>();
     private Rig rig;
     private ServerSocket upstream;
 
@@ -95,7 +99,9 @@
     }
 
     private LookingChannel counted() {
-        return with(counter);
+        LookingChannel channel = with(counter);
+        opened.add(channel);
+        return channel;
     }
 
     private static LookingChannel with(ChannelHandler handler) {
@@ -115,12 +121,16 @@
 
     /** The first part is read on its own, the rest in one go with the connection's end. */
     private void answer(Wire up, String readBefore, String readWithEnd, End end) throws Throwable {
-        long expected = counter.bytes.get() + readBefore.length();
-        up.send(readBefore);
-        rig.await(() -> counter.bytes.get() == expected);
+        sendAndAwaitRead(up, readBefore);
         rig.whileHeld(() -> end.of(up.send(readWithEnd)));
     }
 
+    private void sendAndAwaitRead(Wire up, String part) throws Exception {
+        long expected = counter.bytes.get() + part.length();
+        up.send(part);
+        rig.await(() -> counter.bytes.get() == expected);
+    }
+
     /** Each way to divide an answer into what is read before its end, and with it. */
     private static Stream<Arguments> divisions() {
         String answer = HEAD + BODY;
@@ -149,6 +159,35 @@
         }
     }
 
+    /** Looks, on the event loop, until the end of the upstream's connection has been seen. */
+    private void lookForTheEnd() {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
+        LookingChannel channel = opened.stream().filter(LookingChannel::isActive)
+                .filter(active -> active.remoteAddress().getPort() == upstream.getLocalPort()).findFirst().orElseThrow();
+        while (!channel.hasEnded()) {
+            assertTrue(System.nanoTime() < untilNanos, "it never ended");
+        }
+    }
+
+    /** A look takes the unread bytes and the end behind them from the socket: a read finds both, and which end. */
+    @ParameterizedTest
+    @MethodSource("divisions")
+    void aLookHidesNoEnd(String readBefore, String lookedAt) throws Throwable {
+        for (End end : End.values()) {
+            try (Wire client = rig.client()) {
+                Wire up = request(client, end.ordinal());
+                sendAndAwaitRead(up, readBefore);
+                AtomicReference<Future<?>> look = new AtomicReference<>();
+                rig.whileHeld(() -> {
+                    end.of(up.send(lookedAt));
+                    look.set(rig.sidecar().loop().submit(this::lookForTheEnd)); // before the loop reads again
+                });
+                look.get().get();
+                assertEquals(end == End.CLOSE ? 200 : 502, client.read().status());
+            }
+        }
+    }
+
     private static Stream<Arguments> partsOfAnAnswer() {
         List<String> parts = List.of("", "HTTP/1.1 200 OK\r\nX-Pa", HEAD, HEAD + BODY.substring(1));
         return parts.stream().flatMap(part -> Stream.of(Arguments.of(part, ""), Arguments.of("", part)));
