--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -49,6 +51,8 @@
     private static final int MOST_INTERIM = 16;
     /** From the first byte of an answer to its last: one that stops in between is spoilt. */
     private static final long ANSWER_MS = 500;
+    /** After that time: one read for the last bytes, and one for the close behind them. */
+    private static final int LAST_READS = 2;
 
     final Upstreams.Pool pool;
     private final Upstreams upstreams;
@@ -75,6 +79,7 @@
     void open(EventLoop loop, InetSocketAddress address, int timeoutMs) {
         ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -151,18 +156,28 @@
     }
 
     private void answered(FullHttpResponse response) {
-        if (response.decoderResult().isFailure() || !attempt.written
+        if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
+            close(); // in its head
+            return;
+        }
+        if (response.decoderResult().isFailure() || !attempt.written || isCoded(response)
                 || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             spoil();
             return;
         }
-        reusable = HttpUtil.isKeepAlive(response);
+        reusable = HttpUtil.isKeepAlive(response) && !channel.isInputShutdown();
         outcome = outcome(response);
         report = upstreams.reports().read(response.headers().get(LOAD_REPORT));
         answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? new Answer(response.status().code(), 0,
                 response.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(response.content())) : null;
     }
 
+    /** Whether its body is in a transfer coding other than chunked, which has been undone by now. */
+    private static boolean isCoded(FullHttpResponse response) {
+        return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(coding -> !HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(coding.trim()));
+    }
+
     /**
      * A 503 or 504 proves that nothing ran only where the upstream says so. Where the fault is the request's, no other
      * upstream would serve it: it ends with the upstream's own word, which says nothing against the upstream.
@@ -200,15 +215,23 @@
             upstreams.end(attempt, outcome, report, answer);
         } else if (attempt != null && decoder.isPartial()) {
             Attempt begun = attempt;
-            context.executor().schedule(() -> {
-                if (begun == attempt) {
-                    spoil();
-                }
-            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, LAST_READS), ANSWER_MS, TimeUnit.MILLISECONDS);
         }
         context.fireChannelReadComplete();
     }
 
+    /** The clock alone does not tell: what came in time may lie unread. A timer set now fires behind the next read. */
+    private void spoilUnlessRead(Attempt begun, int reads) {
+        if (begun != attempt) {
+            return;
+        }
+        if (reads == 0) {
+            spoil();
+        } else {
+            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, reads - 1), 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     // ---- Its end.
 
     /** The attempt has ended: back to the pool if the answer left the connection clean, else closed. */
@@ -246,6 +269,18 @@
         channel.close();
     }
 
+    /**
+     * The upstream has closed the connection. The decoder has been told before: an answer that ends by the close is
+     * whole and has been passed on by now. A reset, and a close on this side, never come here.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            close();
+        }
+        super.userEventTriggered(context, event);
+    }
+
     private void closed() {
         upstreams.closed(this);
         if (attempt != null && outcome != null) {
