End a client's connection with the answer to a request that is turned down

A bad client sends thousands of requests for a path of no class on one connection. Each was decoded, answered 404 at once and its connection kept, and all that one read of the socket gave was served before anything else: other clients' requests and the list of upstreams lay unread meanwhile (requests lost with no attempt made, drains told and not yet read). MOST_OWED does not bound it, since an answer that is there at once is owed to nobody. At fault: ClientConnection.take (keeps the connection), RequestDecoder (decodes what nobody will read).

Change: a request that is turned down before the module hears of it (404, 405, 400, 409) ends its connection: its answer is the last one, and what comes behind it is drained without being decoded, up to the limit there was before.

Measured: the test gets one answer with Connection: close and the end; without the change the connection was kept.

--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/umberkeel/node/ClientConnection.java
@@ -67,7 +67,7 @@
 
     /** A request on this connection and, once it is there, its answer. */
     private final class Owed implements Engine.Client {
-        private final boolean keepAlive;
+        private boolean keepAlive;
         private String id;
         private Engine.Exchange exchange;
         private FullHttpResponse response;
@@ -138,6 +138,11 @@
         }
     }
 
+    @Override
+    public boolean isDiscarding() {
+        return deaf;
+    }
+
     @Override
     public void unfinished() {
         if (!deaf) {
@@ -179,6 +184,9 @@
             next.id = request.id();
             next.exchange = server.take(request, next);
         } catch (RejectedException e) {
+            // Else a client could have the event loop answer all that it sends, thousands of requests in a row.
+            deaf = true;
+            next.keepAlive = false;
             next.answer(response(e.status, e.getMessage().getBytes(StandardCharsets.UTF_8)));
         }
     }
--- a/src/main/java/umberkeel/node/RequestDecoder.java
+++ b/src/main/java/umberkeel/node/RequestDecoder.java
@@ -1,5 +1,7 @@
 package umberkeel.node;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -14,6 +16,9 @@
         void came(int bytes);
 
         void unfinished();
+
+        /** Whether the connection reads no more requests, so that what comes is dropped without being decoded. */
+        boolean isDiscarding();
     }
 
     private final Input input;
@@ -29,6 +34,16 @@
         super.channelRead(context, message);
     }
 
+    /** Called for each message in turn: the one before may have ended the reading of requests. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (input.isDiscarding()) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        super.decode(context, buffer, out);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
         if (actualReadableBytes() > 0) {
--- a/src/test/java/umberkeel/node/BadClientTest.java
+++ b/src/test/java/umberkeel/node/BadClientTest.java
@@ -139,6 +139,22 @@
         }
     }
 
+    /** The event loop would answer all of them in one go, and nobody else meanwhile. */
+    @ParameterizedTest
+    @CsvSource({"unheard-of,404", "window-read,405"})
+    void aFloodOfRequestsThatAreTurnedDownGetsOneAnswer(String path, int status) throws Exception {
+        rig.start(list);
+        try (Wire client = rig.client()) {
+            String request = Rig.post(Rig.id(1), "").replace(Rig.UNSAFE, path);
+            client.send(request.repeat(200));
+            Wire.Message answer = client.read();
+            assertEquals(status, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(client.ends());
+        }
+        onlyTheGoodOneComes();
+    }
+
     /** Clients that asked once and stay must not keep others out. */
     @Test
     void whereRoomIsShortAConnectionAtRestIsClosed() throws Exception {
