Let a test of refusals take its second request on a connection of its own

Cause: SidecarTest.a503IsARefusalOnlyWhereTheUpstreamSaysThatNothingRan failed once on a busy machine (502 in place of 503 after 20 s). Its second request may go on the connection of the first, where that has rested for 50 ms; the test answers new connections only.

Change: the first answer ends its connection. The test checks the same as before.

--- a/src/test/java/umberkeel/node/SidecarTest.java
+++ b/src/test/java/umberkeel/node/SidecarTest.java
@@ -185,7 +185,7 @@
             client.send(Rig.post(Rig.id(1), "x"));
             Wire up = Rig.accept(upstream);
             up.read();
-            up.send(Rig.answer("503 Service Unavailable", ""));
+            up.send(Rig.answer("503 Service Unavailable", "", "Connection: close")); // the next one is accepted anew
             assertEquals(502, client.read().status());
             client.send(Rig.post(Rig.id(2), "x"));
             turnAway();
