Put the handler of FailedWriteTest in place before its client connects

Cause: a handler that is added to a listener's pipeline from another thread is passed over until the event loop has come to it, and the client was accepted before. It is now added on the event loop, and waited for.

Also folds a line.

--- a/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
+++ b/src/test/java/umberkeel/node/CloseDelimitedAnswerTest.java
@@ -163,7 +163,8 @@
     private void lookForTheEnd() {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
         LookingChannel channel = opened.stream().filter(LookingChannel::isActive)
-                .filter(active -> active.remoteAddress().getPort() == upstream.getLocalPort()).findFirst().orElseThrow();
+                .filter(active -> active.remoteAddress().getPort() == upstream.getLocalPort())
+                .findFirst().orElseThrow();
         while (!channel.hasEnded()) {
             assertTrue(System.nanoTime() < untilNanos, "it never ended");
         }
--- a/src/test/java/umberkeel/node/FailedWriteTest.java
+++ b/src/test/java/umberkeel/node/FailedWriteTest.java
@@ -69,7 +69,7 @@
             ClientServer server = new ClientServer(loops.next(), clock, config.settings(), null, sockets,
                     () -> checks.incrementAndGet() == 1);
             Channel listener = server.bind(config.listen()).syncUninterruptibly().channel();
-            listener.pipeline().addFirst(new Accepting());
+            loops.next().submit(() -> listener.pipeline().addFirst(new Accepting())).syncUninterruptibly();
             try (Wire client = Wire.to((InetSocketAddress) listener.localAddress())) {
                 client.send(READY + READY);
                 assertThrows(IOException.class, client::read);
