--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -174,8 +174,12 @@
 
     /** Whether its body is in a transfer coding other than chunked, which has been undone by now. */
     private static boolean isCoded(FullHttpResponse response) {
-        return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
-                .anyMatch(coding -> !HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(coding.trim()));
+        for (String coding : response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)) {
+            if (!HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(coding.trim())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
