Count the sidecar's own start against the time for which it warms up

The log of one sidecar: 3.364 rehearsing with an upstream of its own 10.713 no time left to rehearse after 48 requests 10.945 listening on /127.10.0.4:8000 What was left of the 7 s was reckoned at 3.4 s, but counted from when the sidecar that warms up was up, some 3.7 s later. Ready after 11.2 s, of the 10 s allowed. At fault: Rehearsal.ask, which began the time anew.

Change: the end is one point in time, fixed before the start.

Measured: the test fails where the time is counted from behind the start; it holds now.

--- a/src/main/java/umberkeel/node/Rehearsal.java
+++ b/src/main/java/umberkeel/node/Rehearsal.java
@@ -49,14 +49,14 @@
     static void tryIt() throws InterruptedException {
         try {
             LOG.log(System.Logger.Level.INFO, "rehearsing with an upstream of its own");
-            rehearse(0, longestMs(ManagementFactory.getRuntimeMXBean().getUptime()));
+            rehearse(0, endNanos(longestMs(ManagementFactory.getRuntimeMXBean().getUptime())));
         } catch (IOException | RuntimeException | Config.BadConfigException e) {
             LOG.log(System.Logger.Level.WARNING, "the rehearsal failed", e);
         }
     }
 
     public static void main() throws IOException, InterruptedException, Config.BadConfigException {
-        rehearse(0, longestMs(0));
+        rehearse(0, endNanos(longestMs(0)));
     }
 
     /** How long a rehearsal may take in a process that has run for this long: the virtual machine's start counts. */
@@ -64,11 +64,16 @@
         return Math.max(0, REHEARSED_PART * READY_MS - uptimeMs);
     }
 
+    private static long endNanos(double longestMs) {
+        return System.nanoTime() + (long) (longestMs * 1e6);
+    }
+
     /**
-     * With an upstream that takes this long for each answer; returns how many requests have been answered. One that is
+     * With an upstream that takes this long for each answer, up to this time of {@link System#nanoTime}, whatever takes
+     * it up: the sidecar's own start is a good part of it. Returns how many requests have been answered; one that is
      * under way at the end is not waited for.
      */
-    static int rehearse(long upstreamMs, double longestMs)
+    static int rehearse(long upstreamMs, long endNanos)
             throws IOException, InterruptedException, Config.BadConfigException {
         try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             Thread accepting = new Thread(() -> accept(others, upstreamMs));
@@ -76,25 +81,24 @@
             accepting.start();
             String address = others.getInetAddress().getHostAddress() + ":" + others.getLocalPort();
             Sidecar sidecar = Sidecar.start(Config.of(Config.JSON.readTree(CONFIG.formatted(address))));
-            int answered = ask((InetSocketAddress) sidecar.address(), longestMs);
+            int answered = ask((InetSocketAddress) sidecar.address(), endNanos);
             sidecar.halt();
             return answered;
         }
     }
 
-    private static int ask(InetSocketAddress address, double longestMs) throws IOException {
+    private static int ask(InetSocketAddress address, long endNanos) throws IOException {
         String read = "GET /read HTTP/1.1\r\nX-Txn: %016x\r\nX-Lane: read\r\nX-Remaining-Ms: 3000\r\n\r\n";
         String write = "POST /write HTTP/1.1\r\nX-Txn: %016x\r\nX-Lane: write\r\nX-Remaining-Ms: 3000\r\n"
                 + "Content-Length: 4\r\n\r\nbody";
         String unheardOf = "GET /unheard-of HTTP/1.1\r\nX-Txn: %016x\r\n\r\n";
         List<String> requests = List.of(read, write, read, unheardOf);
-        long untilNanos = System.nanoTime() + (long) (longestMs * 1e6);
         int answered = 0;
-        while (answered < REQUESTS && leftMs(untilNanos) > 0) {
+        while (answered < REQUESTS && leftMs(endNanos) > 0) {
             try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
                 BufferedReader in = reader(socket);
-                for (int last = answered + ON_EACH; answered < last && leftMs(untilNanos) > 0; answered++) {
-                    socket.setSoTimeout(Math.max(1, leftMs(untilNanos))); // 0 would be without end
+                for (int last = answered + ON_EACH; answered < last && leftMs(endNanos) > 0; answered++) {
+                    socket.setSoTimeout(Math.max(1, leftMs(endNanos))); // 0 would be without end
                     write(socket, requests.get(answered % requests.size()).formatted(answered));
                     readHead(in);
                 }
@@ -105,8 +109,8 @@
         return answered;
     }
 
-    private static int leftMs(long untilNanos) {
-        return (int) TimeUnit.NANOSECONDS.toMillis(Math.max(0, untilNanos - System.nanoTime()));
+    private static int leftMs(long endNanos) {
+        return (int) TimeUnit.NANOSECONDS.toMillis(Math.max(0, endNanos - System.nanoTime()));
     }
 
     /** Plays the upstream and discovery, by what is asked for. */
--- a/src/test/java/umberkeel/node/RehearsalTest.java
+++ b/src/test/java/umberkeel/node/RehearsalTest.java
@@ -13,18 +13,28 @@
     /** On a part of a core each request takes far longer than here; that must not make it end half compiled. */
     @Test
     void aSlowStartStillRehearsesEachRequest() throws Exception {
-        assertEquals(Rehearsal.REQUESTS, Rehearsal.rehearse(1, Wire.PATIENCE_MS));
+        assertEquals(Rehearsal.REQUESTS, Rehearsal.rehearse(1, inMs(Wire.PATIENCE_MS)));
+    }
+
+    private static long inMs(long ms) {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
     /** An answer that takes for ever stands for a part of a core that is far too small. */
     @Test
     void aRehearsalEndsInTimeWhateverIsUnderWay() throws Exception {
         long startNanos = System.nanoTime();
-        assertEquals(0, Rehearsal.rehearse(Wire.PATIENCE_MS, 300));
+        assertEquals(0, Rehearsal.rehearse(Wire.PATIENCE_MS, inMs(300)));
         long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         assertTrue(tookMs < Wire.PATIENCE_MS / 2, "it took " + tookMs + " ms");
     }
 
+    /** On a small part of a core the time may be over before the sidecar that rehearses is up. */
+    @Test
+    void aStartThatHasTakenAllTheTimeRehearsesNothing() throws Exception {
+        assertEquals(0, Rehearsal.rehearse(0, inMs(0)));
+    }
+
     /** Nine in ten processes have to be ready 10 s after their start, the virtual machine's own part included. */
     @Test
     void theLongerTheProcessHasRunTheLessIsRehearsed() {
