Call what the decision module keeps of upstreams and classes by standard names

"Host" and "upstream" stood for one thing, "trials" for the probation of an ejected upstream, "window" for a concurrency limit, "cold room" for the budget of a slow start, "view" for the statistics of a class.

Host becomes UpstreamState, HostList UpstreamList, Trials Probation, ClassView ClassStats; nothing else changes.

The module's own 105 tests pass.

--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -5,7 +5,7 @@
 
     final Call call;
     final int number;
-    final Host host;
+    final UpstreamState upstream;
     /** The list entry at the time: it names the group that drops repeats. */
     final Balancer.Upstream sentTo;
     final double sentMs;
@@ -13,11 +13,11 @@
     /** Null while it is out. */
     Balancer.Outcome outcome;
 
-    Attempt(Call call, Host host, double sentMs, double timeoutMs) {
+    Attempt(Call call, UpstreamState upstream, double sentMs, double timeoutMs) {
         this.call = call;
         this.number = call.attempts.size();
-        this.host = host;
-        this.sentTo = host.listed;
+        this.upstream = upstream;
+        this.sentTo = upstream.listed;
         this.sentMs = sentMs;
         this.timeoutMs = timeoutMs;
     }
@@ -26,8 +26,8 @@
     void end(Balancer.Outcome how) {
         outcome = how;
         call.out--;
-        host.out--;
-        host.attempts.remove(this);
+        upstream.out--;
+        upstream.attempts.remove(this);
     }
 
     boolean mayHaveRun() {
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -7,7 +7,7 @@
 final class Call {
 
     final int id;
-    final ClassView view;
+    final ClassStats stats;
     /** What an answer is worth where not all can be served, and its place in the order of arrival. */
     final double value;
     final long order;
@@ -18,7 +18,7 @@
     int out;
     /** Servers asked for their load on behalf of this request; the one asked now, or null, and since when. */
     int asks;
-    Host asked;
+    UpstreamState asked;
     double askedMs;
     boolean done;
     boolean served;
@@ -26,10 +26,10 @@
     /** When its client's first try came. */
     double firstMs;
 
-    Call(Balancer.Request request, ClassView view, double value, long order, double aimUntilMs,
+    Call(Balancer.Request request, ClassStats stats, double value, long order, double aimUntilMs,
             double usefulUntilMs) {
         this.id = request.id();
-        this.view = view;
+        this.stats = stats;
         this.value = value;
         this.order = order;
         this.aimUntilMs = aimUntilMs;
@@ -39,23 +39,23 @@
 
     /** Its worth over the time for which it is likely to hold its client's connection. */
     double worthPerMs() {
-        return value / view.typicalMs;
+        return value / stats.typicalMs;
     }
 
     /** Notes that a server is asked for its load now. */
-    void ask(Host host, double nowMs) {
+    void ask(UpstreamState upstream, double nowMs) {
         asks++;
-        asked = host;
+        asked = upstream;
         askedMs = nowMs;
     }
 
     /** Notes an attempt that is sent now, for as long as its answer is of use. */
-    void begin(Host host, double nowMs) {
-        Attempt attempt = new Attempt(this, host, nowMs, usefulUntilMs - nowMs);
+    void begin(UpstreamState upstream, double nowMs) {
+        Attempt attempt = new Attempt(this, upstream, nowMs, usefulUntilMs - nowMs);
         attempts.add(attempt);
         out++;
-        host.out++;
-        host.attempts.addLast(attempt);
+        upstream.out++;
+        upstream.attempts.addLast(attempt);
     }
 
     /** The attempt of this number, or null if there is none. */
@@ -63,9 +63,9 @@
         return number >= 0 && number < attempts.size() ? attempts.get(number) : null;
     }
 
-    boolean tried(Host host) {
+    boolean tried(UpstreamState upstream) {
         for (Attempt attempt : attempts) {
-            if (attempt.host == host) {
+            if (attempt.upstream == upstream) {
                 return true;
             }
         }
--- a/src/main/java/umberkeel/ClassView.java
+++ b/src/main/java/umberkeel/ClassStats.java
@@ -1,7 +1,7 @@
 package umberkeel;
 
 /** What {@link LoadShiftingBalancer} has seen of one class of requests. */
-final class ClassView {
+final class ClassStats {
 
     final Balancer.RequestClass spec;
     /** The running median of latencies, and what it was when the servers were quiet. */
@@ -18,7 +18,7 @@
     /** First tries whose clients may come again. */
     final UnservedTries unserved;
 
-    ClassView(Balancer.RequestClass spec, double typicalMs, double jitterMs) {
+    ClassStats(Balancer.RequestClass spec, double typicalMs, double jitterMs) {
         unserved = new UnservedTries(spec.deadlineMs(), jitterMs);
         this.spec = spec;
         this.typicalMs = typicalMs;
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -36,7 +36,7 @@
     private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
     private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
     private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded server takes
-    private static final double GROW = 0.25; // attempts that a quick answer adds to a window, at most
+    private static final double GROW = 0.25; // attempts that a quick answer adds to a limit, at most
     private static final double SHRINK = 0.5; // attempts that a slow answer takes off it, at most
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
     private static final double COLD_RATE = 1.5; // of what a warm member of the size is sent, at a cold one
@@ -59,9 +59,9 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final double controlMs;
-    private final List<ClassView> classes = new ArrayList<>();
-    private final HostList list = new HostList();
-    private final List<Host> members = list.members;
+    private final List<ClassStats> classes = new ArrayList<>();
+    private final UpstreamList list = new UpstreamList();
+    private final List<UpstreamState> members = list.members;
     private final Map<Integer, Call> calls = new HashMap<>();
     private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
             .thenComparingLong(call -> -call.order));
@@ -89,7 +89,7 @@
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         settings.classes().forEach(spec -> classes.add(
-                new ClassView(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
+                new ClassStats(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
@@ -105,14 +105,14 @@
 
     @Override
     public void request(double nowMs, Request request) {
-        ClassView view = classes.get(request.requestClass());
-        double elapsedMs = elapsedMs(nowMs, request, view);
+        ClassStats stats = classes.get(request.requestClass());
+        double elapsedMs = elapsedMs(nowMs, request, stats);
         double answerMs = request.timeoutMs() - 2 * settings.tickMs();
-        double aimMs = Math.min(answerMs, view.spec.aimMs() - elapsedMs - 2 * settings.tickMs());
-        double usefulMs = view.spec.lateWorth() == 0 ? aimMs : answerMs; // else what is late earns too
-        view.offered++;
-        double value = worth(view) * (request.repeat() || elapsedMs > 0 ? REPEAT_WORTH : 1);
-        Call call = new Call(request, view, value, received++, nowMs + aimMs, nowMs + usefulMs);
+        double aimMs = Math.min(answerMs, stats.spec.aimMs() - elapsedMs - 2 * settings.tickMs());
+        double usefulMs = stats.spec.lateWorth() == 0 ? aimMs : answerMs; // else what is late earns too
+        stats.offered++;
+        double value = worth(stats) * (request.repeat() || elapsedMs > 0 ? REPEAT_WORTH : 1);
+        Call call = new Call(request, stats, value, received++, nowMs + aimMs, nowMs + usefulMs);
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
         if (call.costMs > 0) {
@@ -128,16 +128,16 @@
     }
 
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
-    private double worth(ClassView view) {
+    private double worth(ClassStats stats) {
         double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
-        boolean starved = view.served < WELL_SERVED * view.offered && classes.stream().noneMatch(
-                other -> other.served * view.offered < view.served * other.offered);
-        double lift = starved ? settings.goal().worstClass() * offered / view.offered : 0;
-        return settings.goal().whole() * view.spec.worth() + lift;
+        boolean starved = stats.served < WELL_SERVED * stats.offered && classes.stream().noneMatch(
+                other -> other.served * stats.offered < stats.served * other.offered);
+        double lift = starved ? settings.goal().worstClass() * offered / stats.offered : 0;
+        return settings.goal().whole() * stats.spec.worth() + lift;
     }
 
     private void place(double nowMs, Call call) {
-        if (call.usefulUntilMs - nowMs <= Math.max(call.view.typicalMs / 2, call.costMs)
+        if (call.usefulUntilMs - nowMs <= Math.max(call.stats.typicalMs / 2, call.costMs)
                 || call.attempts.isEmpty() && sparse() && random.nextDouble() > THROTTLE * inTime.value()) {
             giveUp(call); // it hardly earns: too late, too much work by its hint, or most attempts come late
         } else if (!waiting.isEmpty() || !dispatch(nowMs, call)) {
@@ -147,48 +147,50 @@
     }
 
     private boolean dispatch(double nowMs, Call call) {
-        Host host = pick(nowMs, call);
-        if (asks && host != null && call.asks < MOST_ASKS && nowMs - host.reportMs > settings.tickMs()) {
-            call.ask(host, nowMs);
+        UpstreamState upstream = pick(nowMs, call);
+        if (asks && upstream != null && call.asks < MOST_ASKS
+                && nowMs - upstream.reportMs > settings.tickMs()) {
+            call.ask(upstream, nowMs);
             asking.add(call);
-            actions.probe(host.id);
-        } else if (host != null) {
-            send(nowMs, call, host);
+            actions.probe(upstream.id);
+        } else if (upstream != null) {
+            send(nowMs, call, upstream);
         }
-        return host != null;
+        return upstream != null;
     }
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
-    private Host pick(double nowMs, Call call) {
-        long faulty = members.stream().filter(host -> avoided(nowMs, call, host)).count();
+    private UpstreamState pick(double nowMs, Call call) {
+        long faulty = members.stream().filter(upstream -> avoided(nowMs, call, upstream)).count();
         boolean avoid = 2 * faulty <= members.size();
-        Host drawn = null; // each replaces the one before with its part of the sum so far: a draw by weight
+        UpstreamState drawn = null; // each replaces the one before with its part of the sum so far
         double sum = 0;
-        for (Host host : members) {
-            boolean tried = call.attempts.size() < members.size() && call.tried(host);
-            boolean apart = tried || avoid && avoided(nowMs, call, host);
-            if (!apart && fit(nowMs, call, host)) {
-                double weight = host.share * warmth(nowMs, host);
+        for (UpstreamState upstream : members) {
+            boolean tried = call.attempts.size() < members.size() && call.tried(upstream);
+            boolean apart = tried || avoid && avoided(nowMs, call, upstream);
+            if (!apart && fit(nowMs, call, upstream)) {
+                double weight = upstream.share * warmth(nowMs, upstream);
                 sum += weight;
-                drawn = random.nextDouble() * sum < weight ? host : drawn;
+                drawn = random.nextDouble() * sum < weight ? upstream : drawn;
             }
         }
         return drawn;
     }
 
-    private boolean fit(double nowMs, Call call, Host host) {
-        return mayGoTo(nowMs, call, host) && hasRoom(nowMs, call, host) && !crowded(nowMs, call, host);
+    private boolean fit(double nowMs, Call call, UpstreamState upstream) {
+        return mayGoTo(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
+                && !crowded(nowMs, call, upstream);
     }
 
-    private void send(double nowMs, Call call, Host host) {
+    private void send(double nowMs, Call call, UpstreamState upstream) {
         extra -= call.attempts.isEmpty() ? 0 : 1;
         sent++;
-        call.begin(host, nowMs);
+        call.begin(upstream, nowMs);
         // A heavy request is a part of the budget that is larger by so much.
-        host.coldRoom.take(call.costMs > 0 ? call.costMs / meanCostMs : 1);
-        host.trials.note(nowMs);
-        host.trials(call.view).note(nowMs);
-        actions.send(call.id, host.id, call.usefulUntilMs - nowMs);
+        upstream.slowStartBudget.take(call.costMs > 0 ? call.costMs / meanCostMs : 1);
+        upstream.probation.note(nowMs);
+        upstream.probation(call.stats).note(nowMs);
+        actions.send(call.id, upstream.id, call.usefulUntilMs - nowMs);
     }
 
     /**
@@ -198,72 +200,73 @@
     private void shiftShares(double nowMs) {
         double sum = 0;
         double trusts = 0;
-        for (Host host : members) {
-            host.tickLatency = host.latencySum;
-            double samples = host.samples;
-            for (Attempt attempt : host.attempts) {
+        for (UpstreamState upstream : members) {
+            upstream.tickLatency = upstream.latencySum;
+            double samples = upstream.samples;
+            for (Attempt attempt : upstream.attempts) {
                 // A hung server answers nothing: what is out for longer than usual counts by its age.
-                double ratio = (nowMs - attempt.sentMs) / attempt.call.view.typicalMs;
+                double ratio = (nowMs - attempt.sentMs) / attempt.call.stats.typicalMs;
                 if (ratio > 1) {
-                    host.tickLatency += ratio;
+                    upstream.tickLatency += ratio;
                     samples++;
                 }
             }
-            host.tickLatency /= Math.max(samples, Double.MIN_NORMAL);
-            host.trust = samples / (samples + HALF_TRUST);
-            sum += host.trust * host.tickLatency;
-            trusts += host.trust;
-        }
-        for (Host host : members) {
-            if (host.trust > 0) {
-                double deviation = Math.min(MOST_DEVIATION, host.tickLatency * trusts / sum - 1);
-                double moved = host.share * (1 - STEP * host.trust * deviation);
-                host.share = Math.max(moved, LEAST_SHARE / members.size());
+            upstream.tickLatency /= Math.max(samples, Double.MIN_NORMAL);
+            upstream.trust = samples / (samples + HALF_TRUST);
+            sum += upstream.trust * upstream.tickLatency;
+            trusts += upstream.trust;
+        }
+        for (UpstreamState upstream : members) {
+            if (upstream.trust > 0) {
+                double deviation = Math.min(MOST_DEVIATION, upstream.tickLatency * trusts / sum - 1);
+                double moved = upstream.share * (1 - STEP * upstream.trust * deviation);
+                upstream.share = Math.max(moved, LEAST_SHARE / members.size());
             }
-            double kept = KEEP * Math.max(0, 1 - host.samples / ENOUGH);
-            host.latencySum *= kept;
-            host.samples *= kept;
+            double kept = KEEP * Math.max(0, 1 - upstream.samples / ENOUGH);
+            upstream.latencySum *= kept;
+            upstream.samples *= kept;
         }
         list.normalise();
     }
 
     /** A member that drains or is gone gives way to a random ready server, at the mean share. */
     private void fillSubset(double nowMs) {
-        List<Host> candidates = list.candidates();
+        List<UpstreamState> candidates = list.candidates();
         list.normalise();
-        double weights = members.stream().mapToDouble(host -> host.listed.weight()).sum();
+        double weights = members.stream().mapToDouble(upstream -> upstream.listed.weight()).sum();
         while (!candidates.isEmpty()) {
-            Host host = candidates.remove(random.nextInt(candidates.size()));
+            UpstreamState upstream = candidates.remove(random.nextInt(candidates.size()));
             boolean full = members.size() >= subsetSize();
             // A new server takes a member's place as often as an even cover of the fleet asks for.
-            if (full && !host.weighed && random.nextInt(list.hosts.size()) < members.size()) {
+            if (full && !upstream.weighed && random.nextInt(list.upstreams.size()) < members.size()) {
                 members.remove(random.nextInt(members.size()));
                 full = false;
             }
             if (!full) {
-                host.window = Math.max(1, partOf(FIRST_OUT));
-                host.share = (host.listed.weight() + Double.MIN_NORMAL) / (weights > 0 ? weights : 1);
-                host.coldRoom.start(nowMs, random.nextDouble()); // not one at once from each of many sidecars
-                members.add(host);
+                upstream.limit = Math.max(1, partOf(FIRST_OUT));
+                upstream.share = (upstream.listed.weight() + Double.MIN_NORMAL) / (weights > 0 ? weights : 1);
+                // Not one at once from each of many sidecars.
+                upstream.slowStartBudget.start(nowMs, random.nextDouble());
+                members.add(upstream);
             }
-            host.weighed = true;
+            upstream.weighed = true;
         }
         list.normalise();
     }
 
     private double subsetSize() {
-        return Math.max(SUBSET, (double) COVER * list.hosts.size() / settings.sidecars());
+        return Math.max(SUBSET, (double) COVER * list.upstreams.size() / settings.sidecars());
     }
 
     private void shareTick(double nowMs) {
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         // Slow with single attempts: after a while that is taken for the servers' latency, not for a queue.
-        boolean starved = shed > 0 && members.stream().allMatch(host -> host.window <= 1);
+        boolean starved = shed > 0 && members.stream().allMatch(upstream -> upstream.limit <= 1);
         double forget = starved ? FORGET_STARVED : FORGET;
-        for (ClassView view : classes) {
-            view.fade(1 - FADE);
-            view.quietMs = view.answers < SMOOTHING ? 0 : floor(view.quietMs(), view.typicalMs, forget);
+        for (ClassStats stats : classes) {
+            stats.fade(1 - FADE);
+            stats.quietMs = stats.answers < SMOOTHING ? 0 : floor(stats.quietMs(), stats.typicalMs, forget);
         }
         members.forEach(m -> m.quietRatio = Math.max(1, floor(m.quietRatio, m.smoothRatio, FORGET)));
         sentPerMs = (sentPerMs + sent / TICK_MS) / 2;
@@ -293,7 +296,7 @@
         }
         attempt.end(end.outcome());
         if (end.report().length > 0) {
-            attempt.host.report(nowMs, 1 + settings.requestsIn(end.report()));
+            attempt.upstream.report(nowMs, 1 + settings.requestsIn(end.report()));
         }
         if (!call.streaming) {
             learn(nowMs, attempt, end.outcome(), end.elapsedMs());
@@ -309,44 +312,44 @@
     }
 
     private void learn(double nowMs, Attempt attempt, Outcome how, double latencyMs) {
-        Host host = attempt.host;
-        ClassView view = attempt.call.view;
+        UpstreamState upstream = attempt.upstream;
+        ClassStats stats = attempt.call.stats;
         if (how == Outcome.OK) {
-            answered(nowMs, host);
-            servedAgain(host, view);
-            view.answers++;
-            view.served++;
+            answered(nowMs, upstream);
+            servedAgain(upstream, stats);
+            stats.answers++;
+            stats.served++;
             attempt.call.served = true;
-            moveTypical(view, latencyMs);
-            view.tail *= 1 + TAIL_STEP * ((latencyMs > view.tail * view.typicalMs ? 1 : 0) - TAIL_PART);
-            host.smoothRatio += (latencyMs / view.quietMs() - host.smoothRatio) / SMOOTHING;
-        } else if (how == Outcome.NOT_SENT || how == Outcome.CANCELLED && latencyMs < view.typicalMs) {
+            moveTypical(stats, latencyMs);
+            stats.tail *= 1 + TAIL_STEP * ((latencyMs > stats.tail * stats.typicalMs ? 1 : 0) - TAIL_PART);
+            upstream.smoothRatio += (latencyMs / stats.quietMs() - upstream.smoothRatio) / SMOOTHING;
+        } else if (how == Outcome.NOT_SENT || how == Outcome.CANCELLED && latencyMs < stats.typicalMs) {
             return;
         } else if (how != Outcome.CANCELLED) {
             // A failure counts at its time-out: else an upstream that fails at once would draw load.
             latencyMs = Math.max(latencyMs, attempt.timeoutMs);
             if (how == Outcome.TIMEOUT) {
-                moveTypical(view, latencyMs); // else a jammed fleet, all time-outs, looks quiet
+                moveTypical(stats, latencyMs); // else a jammed fleet, all time-outs, looks quiet
             }
             // That a client has little patience says nothing against an upstream.
-            boolean impatient = how == Outcome.TIMEOUT && latencyMs < BARELY * view.typicalMs;
+            boolean impatient = how == Outcome.TIMEOUT && latencyMs < BARELY * stats.typicalMs;
             if (!impatient) {
-                noteFailure(nowMs, host, view);
+                noteFailure(nowMs, upstream, stats);
             }
         }
-        inTime.count(how == Outcome.OK && latencyMs <= view.spec.aimMs());
-        host.latencySum += latencyMs / view.typicalMs;
-        host.samples++;
+        inTime.count(how == Outcome.OK && latencyMs <= stats.spec.aimMs());
+        upstream.latencySum += latencyMs / stats.typicalMs;
+        upstream.samples++;
         if (how != Outcome.RESET) {
             // A broken connection says nothing of a queue: the share and the streak of failures answer to it.
-            guess(nowMs, host, latencyMs / view.quietMs());
-            adjustWindow(nowMs, host, view, latencyMs);
+            guess(nowMs, upstream, latencyMs / stats.quietMs());
+            adjustLimit(nowMs, upstream, stats, latencyMs);
         }
     }
 
-    private static void moveTypical(ClassView view, double latencyMs) {
-        double step = Math.max(MEDIAN_STEP, 1.0 / (2 + view.answers)); // the less, the more is known
-        view.typicalMs *= 1 + step * Math.signum(latencyMs - view.typicalMs);
+    private static void moveTypical(ClassStats stats, double latencyMs) {
+        double step = Math.max(MEDIAN_STEP, 1.0 / (2 + stats.answers)); // the less, the more is known
+        stats.typicalMs *= 1 + step * Math.signum(latencyMs - stats.typicalMs);
     }
 
     /** A floor that follows lower values by halves (the least of noisy ones would sink), and forgets. */
@@ -356,21 +359,21 @@
 
     private boolean mayResend(double nowMs, Call call) {
         return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
-                && call.usefulUntilMs - nowMs >= call.view.typicalMs
-                && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
+                && call.usefulUntilMs - nowMs >= call.stats.typicalMs
+                && (call.stats.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
 
     /** A keyed request that may have run goes only to the group that drops its repeats, within the window. */
-    private boolean mayGoTo(double nowMs, Call call, Host host) {
-        RequestClass spec = call.view.spec;
+    private boolean mayGoTo(double nowMs, Call call, UpstreamState upstream) {
+        RequestClass spec = call.stats.spec;
         return spec.effect() != Effect.KEYED || call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
-                || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
+                || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), upstream.listed));
     }
 
     private void giveUp(Call call) {
         // A refusal says that coming again is harmless.
-        Effect effect = call.view.spec.effect();
-        if (effect == Effect.SAFE || effect == Effect.KEYED && call.view.spec.group() == Group.ALL
+        Effect effect = call.stats.spec.effect();
+        if (effect == Effect.SAFE || effect == Effect.KEYED && call.stats.spec.group() == Group.ALL
                 || call.provenNotRun()) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
         } else {
@@ -381,7 +384,7 @@
 
     private void finish(Call call) {
         if (!call.done && !call.served) {
-            call.view.unserved.note(call.firstMs);
+            call.stats.unserved.note(call.firstMs);
         }
         call.done = true;
         cancelOthers(call, null);
@@ -406,7 +409,7 @@
             return;
         }
         call.streaming = true; // it belongs to the client now: its length says nothing of the server
-        started.host.attempts.remove(started);
+        started.upstream.attempts.remove(started);
         learn(nowMs, started, Outcome.OK, elapsedMs);
         cancelOthers(call, started);
     }
@@ -423,21 +426,21 @@
 
     // ---- Room. Cold servers: guards against pushing over one that has just started. Acts for the contract's
     // time: first attempts only, at COLD_RATE of a member's mean rate at most, for the part that is warm.
-    // Crowding: guards against queues, and against servers that jam. Acts when a member's window is full.
+    // Crowding: guards against queues, and against servers that jam. Acts when a member's limit is full.
 
-    private double warmth(double nowMs, Host host) {
+    private double warmth(double nowMs, UpstreamState upstream) {
         Contract contract = settings.contract();
-        double ageMs = nowMs - host.listed.startedMs();
-        if (host.listed.startedMs() <= 0 || ageMs >= contract.coldMs()) {
+        double ageMs = nowMs - upstream.listed.startedMs();
+        if (upstream.listed.startedMs() <= 0 || ageMs >= contract.coldMs()) {
             return 1;
         }
         return contract.coldFrom() + (1 - contract.coldFrom()) * Math.max(0, ageMs) / contract.coldMs();
     }
 
-    private boolean hasRoom(double nowMs, Call call, Host host) {
-        double warmth = warmth(nowMs, host);
-        return host.out < Math.max(1, host.window * warmth) && nowMs >= host.nextSendMs
-                && (warmth >= 1 || call.attempts.isEmpty() && coldRoom(nowMs, host, warmth));
+    private boolean hasRoom(double nowMs, Call call, UpstreamState upstream) {
+        double warmth = warmth(nowMs, upstream);
+        return upstream.out < Math.max(1, upstream.limit * warmth) && nowMs >= upstream.nextSendMs
+                && (warmth >= 1 || call.attempts.isEmpty() && slowStartBudget(nowMs, upstream, warmth));
     }
 
     /**
@@ -445,25 +448,26 @@
      * no more than it can do. So all sidecars together keep to it if each sends at {@code rate} times its own
      * part of what a warm one takes, and saves no more than the rest of the budget: what is saved lapses.
      */
-    private boolean coldRoom(double nowMs, Host host, double warmth) {
+    private boolean slowStartBudget(double nowMs, UpstreamState upstream, double warmth) {
         Contract contract = settings.contract();
         double rate = Math.min(COLD_RATE, contract.overloadFactor() / 2);
         double spanMs = Math.max(TICK_MS / 4, contract.overloadMs());
         double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
-        double part = weights > 0 ? host.listed.weight() / weights : 1.0 / members.size();
+        double part = weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
         double lapseMs = spanMs * (contract.overloadFactor() - rate) / rate;
-        return host.coldRoom.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
+        return upstream.slowStartBudget.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
     }
 
-    private void adjustWindow(double nowMs, Host host, ClassView view, double latencyMs) {
-        double change = Math.min(GROW, CROWDED * view.quietMs() * host.quietRatio / latencyMs - 1);
+    private void adjustLimit(double nowMs, UpstreamState upstream, ClassStats stats, double latencyMs) {
+        double change = Math.min(GROW, CROWDED * stats.quietMs() * upstream.quietRatio / latencyMs - 1);
         if (change < 0) {
-            // Below one attempt the window sets a pace: many sidecars with one attempt each jam a server too.
+            // Below one attempt the limit sets a pace: many sidecars with one attempt each jam a server too.
             double least = Math.min(1, partOf(FIRST_OUT) / 2);
-            host.window = Math.max(least, host.window + Math.max(-SHRINK, change) * Math.min(1, host.window));
-            host.nextSendMs = nowMs + view.typicalMs * Math.max(0, 1 / host.window - 1);
-        } else if (host.out + 1 >= host.window / 2) {
-            host.window = Math.max(1, host.window + change);
+            double cut = Math.max(-SHRINK, change) * Math.min(1, upstream.limit);
+            upstream.limit = Math.max(least, upstream.limit + cut);
+            upstream.nextSendMs = nowMs + stats.typicalMs * Math.max(0, 1 / upstream.limit - 1);
+        } else if (upstream.out + 1 >= upstream.limit / 2) {
+            upstream.limit = Math.max(1, upstream.limit + change);
         }
     }
 
@@ -473,7 +477,7 @@
 
     /** This sidecar's part of what all sidecars may have out at one server, as if they were alike. */
     private double partOf(double outTogether) {
-        double fleet = list.hosts.size();
+        double fleet = list.upstreams.size();
         return outTogether * fleet / (settings.sidecars() * Math.min(subsetSize(), fleet));
     }
 
@@ -481,28 +485,28 @@
     // report load: one where the request would miss its aim is out of the draw until it may have drained.
     // Where reports come by probe alone, the server drawn is asked first; if it is crowded, the draw goes on.
 
-    private boolean crowded(double nowMs, Call call, Host host) {
-        double latencyMs = host.load * call.view.quietMs() - (nowMs - host.reportMs);
+    private boolean crowded(double nowMs, Call call, UpstreamState upstream) {
+        double latencyMs = upstream.load * call.stats.quietMs() - (nowMs - upstream.reportMs);
         return latencyMs > (2 * call.asks > MOST_ASKS ? 1 : WAIT_PART) * (call.aimUntilMs - nowMs);
     }
 
     @Override
     public void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {
-        Host host = list.host(upstream);
-        if (host != null && outcome == Outcome.OK) {
-            answered(nowMs, host);
-            host.report(nowMs, 1 + settings.requestsIn(report));
-        } else if (host != null) {
-            host.report(nowMs, Double.MAX_VALUE); // until it has answered another probe
-            setAside(nowMs, host, "a probe found it out of reach");
+        UpstreamState probed = list.find(upstream);
+        if (probed != null && outcome == Outcome.OK) {
+            answered(nowMs, probed);
+            probed.report(nowMs, 1 + settings.requestsIn(report));
+        } else if (probed != null) {
+            probed.report(nowMs, Double.MAX_VALUE); // until it has answered another probe
+            setAside(nowMs, probed, "a probe found it out of reach");
         }
-        resume(nowMs, call -> call.asked == host);
+        resume(nowMs, call -> call.asked == probed);
     }
 
     /** Without a report: many sidecars with few attempts see no queue but by what the latest attempt took. */
-    private void guess(double nowMs, Host host, double load) {
-        if (host.reportMs < nowMs && sparse()) {
-            host.report(nowMs, load);
+    private void guess(double nowMs, UpstreamState upstream, double load) {
+        if (upstream.reportMs < nowMs && sparse()) {
+            upstream.report(nowMs, load);
         }
     }
 
@@ -510,10 +514,10 @@
         List<Call> ready = asking.stream().filter(due).toList();
         asking.removeAll(ready);
         for (Call call : ready) {
-            Host host = call.asked;
-            boolean heard = host.ready() && nowMs - host.reportMs <= settings.tickMs();
-            if (heard && !avoided(nowMs, call, host) && fit(nowMs, call, host)) {
-                send(nowMs, call, host);
+            UpstreamState upstream = call.asked;
+            boolean heard = upstream.ready() && nowMs - upstream.reportMs <= settings.tickMs();
+            if (heard && !avoided(nowMs, call, upstream) && fit(nowMs, call, upstream)) {
+                send(nowMs, call, upstream);
             } else {
                 place(nowMs, call);
             }
@@ -530,14 +534,14 @@
     }
 
     /** The client holds a connection for what waits; but where all is slow the worthiest come first. */
-    private static double lastCallMs(ClassView view) {
-        double mostMs = LONGEST_CALL * view.spec.aimMs();
-        return Math.max(view.typicalMs, Math.min(LAST_CALL * view.typicalMs, mostMs));
+    private static double lastCallMs(ClassStats stats) {
+        double mostMs = LONGEST_CALL * stats.spec.aimMs();
+        return Math.max(stats.typicalMs, Math.min(LAST_CALL * stats.typicalMs, mostMs));
     }
 
     private void shedWaiting(double nowMs) {
         List<Call> late = waiting.stream().filter(call -> call.usefulUntilMs - nowMs
-                <= Math.max(controlMs, lastCallMs(call.view))).toList();
+                <= Math.max(controlMs, lastCallMs(call.stats))).toList();
         shed += late.size();
         late.forEach(waiting::remove);
         late.forEach(this::giveUp);
@@ -568,8 +572,8 @@
             yielded++;
             return false;
         }
-        double best = classes.stream().filter(view -> view.offered > 0)
-                .mapToDouble(view -> worth(view) / view.typicalMs).max().orElse(0);
+        double best = classes.stream().filter(stats -> stats.offered > 0)
+                .mapToDouble(stats -> worth(stats) / stats.typicalMs).max().orElse(0);
         boolean yields = left < kept * (1 - call.worthPerMs() / best);
         yielded += yields ? 1 : 0;
         return yields;
@@ -580,12 +584,12 @@
     // Where none came then that ended unserved, this is a first try with a patience of its own. This keeps an
     // impatient crowd from being refused as late repeats. It hurts where that first try went unseen,
     // lost with a sidecar or for want of a connection: its repeats are served as if they were new.
-    private double elapsedMs(double nowMs, Request request, ClassView view) {
-        double deadlineMs = view.spec.deadlineMs();
-        boolean usual = view.patience.count(request.timeoutMs(), jitterMs(view.spec));
+    private double elapsedMs(double nowMs, Request request, ClassStats stats) {
+        double deadlineMs = stats.spec.deadlineMs();
+        boolean usual = stats.patience.count(request.timeoutMs(), jitterMs(stats.spec));
         double goneMs = Math.max(0, deadlineMs - request.timeoutMs());
         boolean first = settings.repeatsMarked() ? !request.repeat()
-                : usual || !view.unserved.take(nowMs - goneMs);
+                : usual || !stats.unserved.take(nowMs - goneMs);
         return first ? 0 : goneMs;
     }
 
@@ -595,76 +599,79 @@
     }
 
     // ---- Set-asides. Guards against servers that are silent (hung, paused, out of reach) or fail. Acts on
-    // silence of the attempts out, or on failures in a row; they return by an answer, to ever rarer trials.
+    // silence of the attempts out, or on failures in a row; they return by an answer,
+    // to ever rarer trials.
     // A server may fail one class and serve the others: it is then set aside for that class alone.
 
-    private void setAside(double nowMs, Host host, String why) {
-        if (host.setAside == null) {
-            host.setAside = why;
-            actions.log(host + " is set aside, " + why + "; trying it now and then");
-            host.trials.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
+    private void setAside(double nowMs, UpstreamState upstream, String why) {
+        if (upstream.setAside == null) {
+            upstream.setAside = why;
+            actions.log(upstream + " is set aside, " + why + "; trying it now and then");
+            upstream.probation.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
         }
     }
 
-    private void noteFailure(double nowMs, Host host, ClassView view) {
-        host.trials.failures++;
-        Trials ofClass = host.trials(view);
+    private void noteFailure(double nowMs, UpstreamState upstream, ClassStats stats) {
+        upstream.probation.failures++;
+        Probation ofClass = upstream.probation(stats);
         ofClass.failures++;
-        if (host.trials.failures >= STREAK) {
-            setAside(nowMs, host, "it failed " + host.trials.failures + " times in a row");
-        } else if (host.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
-            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed "
+        if (upstream.probation.failures >= STREAK) {
+            setAside(nowMs, upstream, "it failed " + upstream.probation.failures + " times in a row");
+        } else if (upstream.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
+            actions.log(upstream + " is set aside for " + stats.spec.name() + " alone, which it failed "
                     + ofClass.failures + " times in a row; trying it now and then");
             ofClass.apart = true;
             ofClass.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
         }
     }
 
-    private void servedAgain(Host host, ClassView view) {
-        Trials ofClass = host.trials(view);
+    private void servedAgain(UpstreamState upstream, ClassStats stats) {
+        Probation ofClass = upstream.probation(stats);
         ofClass.failures = 0;
         if (ofClass.apart) {
             ofClass.apart = false;
-            actions.log(host + " serves " + view.spec.name() + " again");
+            actions.log(upstream + " serves " + stats.spec.name() + " again");
         }
     }
 
-    private void answered(double nowMs, Host host) {
-        host.heardMs = nowMs;
-        host.trials.failures = 0;
-        if (host.setAside != null) {
-            actions.log(host + " answers again and is back in the draw");
-            host.share = Math.max(host.share, 1.0 / members.size()); // else a cut share hardly climbs back
+    private void answered(double nowMs, UpstreamState upstream) {
+        upstream.heardMs = nowMs;
+        upstream.probation.failures = 0;
+        if (upstream.setAside != null) {
+            actions.log(upstream + " answers again and is back in the draw");
+            // Else a cut share hardly climbs back.
+            upstream.share = Math.max(upstream.share, 1.0 / members.size());
         }
-        host.setAside = null;
+        upstream.setAside = null;
     }
 
-    private static boolean avoided(double nowMs, Call call, Host host) {
-        Trials ofClass = host.trials(call.view);
-        return host.setAside != null && nowMs < host.trials.atMs || ofClass.apart && nowMs < ofClass.atMs;
+    private static boolean avoided(double nowMs, Call call, UpstreamState upstream) {
+        Probation ofClass = upstream.probation(call.stats);
+        return upstream.setAside != null && nowMs < upstream.probation.atMs
+                || ofClass.apart && nowMs < ofClass.atMs;
     }
 
     private void watchSilence(double nowMs) {
-        for (Host host : members) {
-            if (asks && host.setAside != null && nowMs >= host.trials.atMs) {
-                host.trials.note(nowMs);
-                actions.probe(host.id);
+        for (UpstreamState upstream : members) {
+            if (asks && upstream.setAside != null && nowMs >= upstream.probation.atMs) {
+                upstream.probation.note(nowMs);
+                actions.probe(upstream.id);
             }
-            Attempt oldest = host.attempts.peekFirst();
+            Attempt oldest = upstream.attempts.peekFirst();
             if (oldest == null) {
                 continue;
             }
             double ageMs = nowMs - oldest.sentMs;
-            guess(nowMs, host, Math.max(host.load, ageMs / oldest.call.view.quietMs()));
-            double silentMs = nowMs - Math.max(host.heardMs, oldest.sentMs);
-            double typicalMs = oldest.call.view.typicalMs;
+            guess(nowMs, upstream, Math.max(upstream.load, ageMs / oldest.call.stats.quietMs()));
+            double silentMs = nowMs - Math.max(upstream.heardMs, oldest.sentMs);
+            double typicalMs = oldest.call.stats.typicalMs;
             // One attempt alone is often slow by chance; several that wait together hardly are.
-            double enough = Math.max(SILENCE, oldest.call.view.tail) / host.out;
+            double enough = Math.max(SILENCE, oldest.call.stats.tail) / upstream.out;
             if (silentMs > Math.max(1.5, enough) * typicalMs) {
-                setAside(nowMs, host, "silent for " + Math.round(silentMs) + " ms");
+                setAside(nowMs, upstream, "silent for " + Math.round(silentMs) + " ms");
             }
-            if (host.setAside != null && settings.limits().secondCopies() && waiting.isEmpty()) {
-                for (Attempt attempt : host.attempts) {
+            if (upstream.setAside != null && settings.limits().secondCopies() && waiting.isEmpty()) {
+                for (Attempt attempt : upstream.attempts) {
                     copy(nowMs, attempt);
                 }
             }
@@ -674,9 +681,9 @@
     /** A second copy of what is stuck at a server set aside: where class, budget and spare room allow it. */
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
-        boolean due = !call.done && call.out == 1 && nowMs - stuck.sentMs > call.view.typicalMs;
-        Host other = due && mayResend(nowMs, call) ? pick(nowMs, call) : null;
-        if (other != null && other != stuck.host) {
+        boolean due = !call.done && call.out == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
+        UpstreamState other = due && mayResend(nowMs, call) ? pick(nowMs, call) : null;
+        if (other != null && other != stuck.upstream) {
             send(nowMs, call, other);
         }
     }
--- a/src/main/java/umberkeel/Trials.java
+++ b/src/main/java/umberkeel/Probation.java
@@ -1,10 +1,10 @@
 package umberkeel;
 
 /** Failures in a row and, once they have led to a set-aside, when the next trial is due: ever rarer. */
-final class Trials {
+final class Probation {
 
     int failures;
-    /** Whether it is set aside for the class that these trials are of. */
+    /** Whether it is set aside for the class of this probation. */
     boolean apart;
     double atMs;
     private double gapMs;
--- a/src/main/java/umberkeel/HostList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -10,51 +10,51 @@
 import umberkeel.Balancer.Upstream;
 
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
-final class HostList {
+final class UpstreamList {
 
-    final List<Host> hosts = new ArrayList<>();
-    final List<Host> members = new ArrayList<>();
-    private final Map<Integer, Host> byId = new HashMap<>();
+    final List<UpstreamState> upstreams = new ArrayList<>();
+    final List<UpstreamState> members = new ArrayList<>();
+    private final Map<Integer, UpstreamState> byId = new HashMap<>();
 
     /** Takes over what discovery says; an upstream that has restarted begins anew. */
     void apply(ListKind kind, List<Upstream> entries) {
         if (kind != ListKind.DELTA) {
-            hosts.forEach(HostList::markGone);
+            upstreams.forEach(UpstreamList::markGone);
         }
         for (Upstream entry : entries) {
-            Host known = byId.get(entry.id());
+            UpstreamState known = byId.get(entry.id());
             if (known != null && entry.startedMs() > 0 && known.listed.startedMs() != entry.startedMs()) {
                 markGone(known);
                 known = null;
             }
             if (known == null) {
-                known = new Host(entry);
-                hosts.add(known);
+                known = new UpstreamState(entry);
+                upstreams.add(known);
                 byId.put(entry.id(), known);
             }
             known.listed = entry;
         }
-        members.removeIf(host -> !host.ready());
-        hosts.removeIf(host -> {
-            boolean gone = host.listed.status() == Status.GONE;
+        members.removeIf(upstream -> !upstream.ready());
+        upstreams.removeIf(upstream -> {
+            boolean gone = upstream.listed.status() == Status.GONE;
             if (gone) {
-                byId.remove(host.id, host);
+                byId.remove(upstream.id, upstream);
             }
             return gone;
         });
     }
 
     /** The upstream of this id, or null where none is listed. */
-    Host host(int id) {
+    UpstreamState find(int id) {
         return byId.get(id);
     }
 
     /** The ready upstreams that are not members. */
-    List<Host> candidates() {
-        List<Host> candidates = new ArrayList<>();
-        for (Host host : hosts) {
-            if (host.ready() && !members.contains(host)) {
-                candidates.add(host);
+    List<UpstreamState> candidates() {
+        List<UpstreamState> candidates = new ArrayList<>();
+        for (UpstreamState upstream : upstreams) {
+            if (upstream.ready() && !members.contains(upstream)) {
+                candidates.add(upstream);
             }
         }
         return candidates;
@@ -63,17 +63,17 @@
     /** Scales the members' shares to a sum of 1. */
     void normalise() {
         double total = 0;
-        for (Host host : members) {
-            total += host.share;
+        for (UpstreamState upstream : members) {
+            total += upstream.share;
         }
-        for (Host host : members) {
-            host.share /= total;
+        for (UpstreamState upstream : members) {
+            upstream.share /= total;
         }
     }
 
-    private static void markGone(Host host) {
-        Upstream old = host.listed;
-        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(),
+    private static void markGone(UpstreamState upstream) {
+        Upstream old = upstream.listed;
+        upstream.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(),
                 old.cell(), old.weight());
     }
 }
--- a/src/main/java/umberkeel/Host.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
-final class Host {
+final class UpstreamState {
 
     final int id;
     /** What discovery said last. */
@@ -24,7 +24,7 @@
     double smoothRatio = 1;
     double quietRatio = 1;
     /** Attempts that may be out at once; below one it sets a pace. */
-    double window;
+    double limit;
     double nextSendMs;
     int out;
     /** Attempts still out, oldest first, but for started streams. */
@@ -36,17 +36,17 @@
     /** Why it is set aside; null while it is not. */
     String setAside;
     /** Of it as a whole, and of the classes that have been sent to it. */
-    final Trials trials = new Trials();
-    private final Map<ClassView, Trials> classTrials = new HashMap<>();
-    final TokenBucket coldRoom = new TokenBucket();
+    final Probation probation = new Probation();
+    private final Map<ClassStats, Probation> classProbation = new HashMap<>();
+    final TokenBucket slowStartBudget = new TokenBucket();
 
-    Host(Balancer.Upstream listed) {
+    UpstreamState(Balancer.Upstream listed) {
         this.id = listed.id();
         this.listed = listed;
     }
 
-    Trials trials(ClassView view) {
-        return classTrials.computeIfAbsent(view, unused -> new Trials());
+    Probation probation(ClassStats stats) {
+        return classProbation.computeIfAbsent(stats, unused -> new Probation());
     }
 
     /** Notes a report. */
