--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -25,8 +25,8 @@
     /** Notes its end. */
     void end(Balancer.Outcome how) {
         outcome = how;
-        call.out--;
-        upstream.out--;
+        call.inFlight--;
+        upstream.inFlight--;
         upstream.attempts.remove(this);
     }
 
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -15,7 +15,7 @@
     final double usefulUntilMs;
     final double costMs;
     final List<Attempt> attempts = new ArrayList<>(2);
-    int out;
+    int inFlight;
     /** Servers asked for their load on behalf of this request; the one asked now, or null, and since when. */
     int asks;
     UpstreamState asked;
@@ -53,8 +53,8 @@
     void begin(UpstreamState upstream, double nowMs) {
         Attempt attempt = new Attempt(this, upstream, nowMs, usefulUntilMs - nowMs);
         attempts.add(attempt);
-        out++;
-        upstream.out++;
+        inFlight++;
+        upstream.inFlight++;
         upstream.attempts.addLast(attempt);
     }
 
--- /dev/null
+++ b/src/main/java/umberkeel/ConcurrencyLimit.java
@@ -0,0 +1,44 @@
+package umberkeel;
+
+/**
+ * How many attempts this sidecar may have in flight at one upstream. Answers quicker than those of a crowded
+ * upstream raise the limit, slower ones lower it: that guards against queues, and against upstreams that jam.
+ * Below one attempt it sets a pace instead: many sidecars with one attempt each jam an upstream too.
+ */
+final class ConcurrencyLimit {
+
+    private static final double MOST_RAISED = 0.25; // attempts, by one quick answer
+    private static final double MOST_LOWERED = 0.5; // attempts, by one slow answer
+
+    private double attempts;
+    private double nextSendMs;
+
+    /** Begins anew for an upstream that is not known yet. */
+    void start(double firstAttempts) {
+        attempts = Math.max(1, firstAttempts);
+    }
+
+    /** Whether one more attempt may be sent; an upstream that is warm in part gets that part of the limit. */
+    boolean admits(double nowMs, int inFlight, double warmth) {
+        return inFlight < Math.max(1, attempts * warmth) && nowMs >= nextSendMs;
+    }
+
+    /** Whether it has come down to single attempts. */
+    boolean isSingle() {
+        return attempts <= 1;
+    }
+
+    /**
+     * Moves the limit after an answer, never under {@code minimum}. {@code headroom} is the part by which it was
+     * quicker than one of a crowded upstream, negative if slower; a pace is set in terms of {@code typicalMs}.
+     */
+    void adjust(double nowMs, int inFlight, double headroom, double minimum, double typicalMs) {
+        double change = Math.min(MOST_RAISED, headroom);
+        if (change < 0) {
+            attempts = Math.max(minimum, attempts + Math.max(-MOST_LOWERED, change) * Math.min(1, attempts));
+            nextSendMs = nowMs + typicalMs * Math.max(0, 1 / attempts - 1);
+        } else if (inFlight + 1 >= attempts / 2) {
+            attempts = Math.max(1, attempts + change);
+        }
+    }
+}
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -35,9 +35,6 @@
     private static final double SILENCE = 3; // typical latencies, over the attempts out, that tell
     private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
     private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
-    private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded server takes
-    private static final double GROW = 0.25; // attempts that a quick answer adds to a limit, at most
-    private static final double SHRINK = 0.5; // attempts that a slow answer takes off it, at most
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
     private static final double COLD_RATE = 1.5; // of what a warm member of the size is sent, at a cold one
     private static final int MOST_ASKS = 6; // servers asked for their load for one request
@@ -243,7 +240,7 @@
                 full = false;
             }
             if (!full) {
-                upstream.limit = Math.max(1, partOf(FIRST_OUT));
+                upstream.limit.start(partOf(FIRST_OUT));
                 upstream.share = (upstream.listed.weight() + Double.MIN_NORMAL) / (weights > 0 ? weights : 1);
                 // Not one at once from each of many sidecars.
                 upstream.slowStartBudget.start(nowMs, random.nextDouble());
@@ -262,7 +259,7 @@
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         // Slow with single attempts: after a while that is taken for the servers' latency, not for a queue.
-        boolean starved = shed > 0 && members.stream().allMatch(upstream -> upstream.limit <= 1);
+        boolean starved = shed > 0 && members.stream().allMatch(upstream -> upstream.limit.isSingle());
         double forget = starved ? FORGET_STARVED : FORGET;
         for (ClassStats stats : classes) {
             stats.fade(1 - FADE);
@@ -303,9 +300,9 @@
         }
         if (end.requestDone() || call.done) {
             finish(call);
-        } else if (call.out == 0 && mayResend(nowMs, call)) {
+        } else if (call.inFlight == 0 && mayResend(nowMs, call)) {
             place(nowMs, call);
-        } else if (call.out == 0) {
+        } else if (call.inFlight == 0) {
             giveUp(call);
         }
         serveWaiting(nowMs);
@@ -343,7 +340,9 @@
         if (how != Outcome.RESET) {
             // A broken connection says nothing of a queue: the share and the streak of failures answer to it.
             guess(nowMs, upstream, latencyMs / stats.quietMs());
-            adjustLimit(nowMs, upstream, stats, latencyMs);
+            double minimum = Math.min(1, partOf(FIRST_OUT) / 2);
+            upstream.limit.adjust(nowMs, upstream.inFlight, upstream.headroom(stats, latencyMs), minimum,
+                    stats.typicalMs);
         }
     }
 
@@ -388,7 +387,7 @@
         }
         call.done = true;
         cancelOthers(call, null);
-        if (call.out == 0) {
+        if (call.inFlight == 0) {
             calls.remove(call.id);
         }
     }
@@ -426,7 +425,6 @@
 
     // ---- Room. Cold servers: guards against pushing over one that has just started. Acts for the contract's
     // time: first attempts only, at COLD_RATE of a member's mean rate at most, for the part that is warm.
-    // Crowding: guards against queues, and against servers that jam. Acts when a member's limit is full.
 
     private double warmth(double nowMs, UpstreamState upstream) {
         Contract contract = settings.contract();
@@ -439,7 +437,7 @@
 
     private boolean hasRoom(double nowMs, Call call, UpstreamState upstream) {
         double warmth = warmth(nowMs, upstream);
-        return upstream.out < Math.max(1, upstream.limit * warmth) && nowMs >= upstream.nextSendMs
+        return upstream.limit.admits(nowMs, upstream.inFlight, warmth)
                 && (warmth >= 1 || call.attempts.isEmpty() && slowStartBudget(nowMs, upstream, warmth));
     }
 
@@ -458,19 +456,6 @@
         return upstream.slowStartBudget.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
     }
 
-    private void adjustLimit(double nowMs, UpstreamState upstream, ClassStats stats, double latencyMs) {
-        double change = Math.min(GROW, CROWDED * stats.quietMs() * upstream.quietRatio / latencyMs - 1);
-        if (change < 0) {
-            // Below one attempt the limit sets a pace: many sidecars with one attempt each jam a server too.
-            double least = Math.min(1, partOf(FIRST_OUT) / 2);
-            double cut = Math.max(-SHRINK, change) * Math.min(1, upstream.limit);
-            upstream.limit = Math.max(least, upstream.limit + cut);
-            upstream.nextSendMs = nowMs + stats.typicalMs * Math.max(0, 1 / upstream.limit - 1);
-        } else if (upstream.out + 1 >= upstream.limit / 2) {
-            upstream.limit = Math.max(1, upstream.limit + change);
-        }
-    }
-
     private boolean sparse() {
         return !asks && partOf(FIRST_OUT) < 1;
     }
@@ -666,7 +651,7 @@
             double silentMs = nowMs - Math.max(upstream.heardMs, oldest.sentMs);
             double typicalMs = oldest.call.stats.typicalMs;
             // One attempt alone is often slow by chance; several that wait together hardly are.
-            double enough = Math.max(SILENCE, oldest.call.stats.tail) / upstream.out;
+            double enough = Math.max(SILENCE, oldest.call.stats.tail) / upstream.inFlight;
             if (silentMs > Math.max(1.5, enough) * typicalMs) {
                 setAside(nowMs, upstream, "silent for " + Math.round(silentMs) + " ms");
             }
@@ -681,7 +666,7 @@
     /** A second copy of what is stuck at a server set aside: where class, budget and spare room allow it. */
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
-        boolean due = !call.done && call.out == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
+        boolean due = !call.done && call.inFlight == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
         UpstreamState other = due && mayResend(nowMs, call) ? pick(nowMs, call) : null;
         if (other != null && other != stuck.upstream) {
             send(nowMs, call, other);
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -7,6 +7,8 @@
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
 final class UpstreamState {
 
+    private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded upstream takes
+
     final int id;
     /** What discovery said last. */
     Balancer.Upstream listed;
@@ -23,10 +25,8 @@
     /** Latency over the quiet one of its class: smoothed, and when this upstream is quiet itself. */
     double smoothRatio = 1;
     double quietRatio = 1;
-    /** Attempts that may be out at once; below one it sets a pace. */
-    double limit;
-    double nextSendMs;
-    int out;
+    final ConcurrencyLimit limit = new ConcurrencyLimit();
+    int inFlight;
     /** Attempts still out, oldest first, but for started streams. */
     final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
     double heardMs;
@@ -49,6 +49,11 @@
         return classProbation.computeIfAbsent(stats, unused -> new Probation());
     }
 
+    /** By which part a latency is under that of a crowded upstream; negative where it is over it. */
+    double headroom(ClassStats stats, double latencyMs) {
+        return CROWDED * stats.quietMs() * quietRatio / latencyMs - 1;
+    }
+
     /** Notes a report. */
     void report(double nowMs, double requestLoad) {
         load = requestLoad;
