--- a/src/main/java/umberkeel/ConcurrencyLimit.java
+++ b/src/main/java/umberkeel/ConcurrencyLimit.java
@@ -29,8 +29,8 @@
     }
 
     /**
-     * Moves the limit after an answer, never under {@code minimum}. {@code headroom} is the part by which it was
-     * quicker than one of a crowded upstream, negative if slower; a pace is set in terms of {@code typicalMs}.
+     * Moves the limit after an answer, not under {@code minimum}. {@code headroom} is the part by which
+     * it was quicker than a crowded upstream's, negative if slower; a pace is so many {@code typicalMs}.
      */
     void adjust(double nowMs, int inFlight, double headroom, double minimum, double typicalMs) {
         double change = Math.min(MOST_RAISED, headroom);
