--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -30,9 +30,7 @@
     private static final double SMOOTHING = 32; // answers over which a server's latency is smoothed
     private static final double FORGET = 0.005; // of the quiet latency in a tick: machines change
     private static final double FORGET_STARVED = 0.05; // the same, where even single attempts are slow
-    private static final int STREAK = 3; // failures in a row that are hardly chance
     private static final double BARELY = 2; // typical latencies: a shorter time-out is no failure
-    private static final double SILENCE = 3; // typical latencies, over the attempts out, that tell
     private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
     private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
@@ -55,6 +53,7 @@
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
+    private final OutlierEjection ejection;
     private final double controlMs;
     private final List<ClassStats> classes = new ArrayList<>();
     private final UpstreamList list = new UpstreamList();
@@ -85,6 +84,7 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.ejection = new OutlierEjection(actions);
         settings.classes().forEach(spec -> classes.add(
                 new ClassStats(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
         asks = settings.limits().probes() && settings.reportsOnProbe();
@@ -158,14 +158,13 @@
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
     private UpstreamState pick(double nowMs, Call call) {
-        long faulty = members.stream().filter(upstream -> avoided(nowMs, call, upstream)).count();
-        boolean avoid = 2 * faulty <= members.size();
+        boolean avoid = 2 * countExcluded(nowMs, call) <= members.size();
         UpstreamState drawn = null; // each replaces the one before with its part of the sum so far
         double sum = 0;
         for (UpstreamState upstream : members) {
             boolean tried = call.attempts.size() < members.size() && call.tried(upstream);
-            boolean apart = tried || avoid && avoided(nowMs, call, upstream);
-            if (!apart && fit(nowMs, call, upstream)) {
+            boolean excluded = tried || avoid && ejection.excludes(nowMs, upstream, call.stats);
+            if (!excluded && fit(nowMs, call, upstream)) {
                 double weight = upstream.share * warmth(nowMs, upstream);
                 sum += weight;
                 drawn = random.nextDouble() * sum < weight ? upstream : drawn;
@@ -174,6 +173,14 @@
         return drawn;
     }
 
+    private int countExcluded(double nowMs, Call call) {
+        int excluded = 0;
+        for (UpstreamState upstream : members) {
+            excluded += ejection.excludes(nowMs, upstream, call.stats) ? 1 : 0;
+        }
+        return excluded;
+    }
+
     private boolean fit(double nowMs, Call call, UpstreamState upstream) {
         return mayGoTo(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
                 && !crowded(nowMs, call, upstream);
@@ -185,8 +192,7 @@
         call.begin(upstream, nowMs);
         // A heavy request is a part of the budget that is larger by so much.
         upstream.slowStartBudget.take(call.costMs > 0 ? call.costMs / meanCostMs : 1);
-        upstream.probation.note(nowMs);
-        upstream.probation(call.stats).note(nowMs);
+        ejection.sent(nowMs, upstream, call.stats);
         actions.send(call.id, upstream.id, call.usefulUntilMs - nowMs);
     }
 
@@ -313,7 +319,7 @@
         ClassStats stats = attempt.call.stats;
         if (how == Outcome.OK) {
             answered(nowMs, upstream);
-            servedAgain(upstream, stats);
+            ejection.served(upstream, stats);
             stats.answers++;
             stats.served++;
             attempt.call.served = true;
@@ -331,7 +337,7 @@
             // That a client has little patience says nothing against an upstream.
             boolean impatient = how == Outcome.TIMEOUT && latencyMs < BARELY * stats.typicalMs;
             if (!impatient) {
-                noteFailure(nowMs, upstream, stats);
+                ejection.failed(nowMs, upstream, stats);
             }
         }
         inTime.count(how == Outcome.OK && latencyMs <= stats.spec.aimMs());
@@ -483,7 +489,7 @@
             probed.report(nowMs, 1 + settings.requestsIn(report));
         } else if (probed != null) {
             probed.report(nowMs, Double.MAX_VALUE); // until it has answered another probe
-            setAside(nowMs, probed, "a probe found it out of reach");
+            ejection.eject(nowMs, probed, "a probe found it out of reach");
         }
         resume(nowMs, call -> call.asked == probed);
     }
@@ -501,7 +507,7 @@
         for (Call call : ready) {
             UpstreamState upstream = call.asked;
             boolean heard = upstream.ready() && nowMs - upstream.reportMs <= settings.tickMs();
-            if (heard && !avoided(nowMs, call, upstream) && fit(nowMs, call, upstream)) {
+            if (heard && !ejection.excludes(nowMs, upstream, call.stats) && fit(nowMs, call, upstream)) {
                 send(nowMs, call, upstream);
             } else {
                 place(nowMs, call);
@@ -583,63 +589,18 @@
         return 2 * settings.tickMs() + spec.deadlineMs() / 500;
     }
 
-    // ---- Set-asides. Guards against servers that are silent (hung, paused, out of reach) or fail. Acts on
-    // silence of the attempts out, or on failures in a row; they return by an answer,
-    // to ever rarer trials.
-    // A server may fail one class and serve the others: it is then set aside for that class alone.
-
-    private void setAside(double nowMs, UpstreamState upstream, String why) {
-        if (upstream.setAside == null) {
-            upstream.setAside = why;
-            actions.log(upstream + " is set aside, " + why + "; trying it now and then");
-            upstream.probation.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
-        }
-    }
-
-    private void noteFailure(double nowMs, UpstreamState upstream, ClassStats stats) {
-        upstream.probation.failures++;
-        Probation ofClass = upstream.probation(stats);
-        ofClass.failures++;
-        if (upstream.probation.failures >= STREAK) {
-            setAside(nowMs, upstream, "it failed " + upstream.probation.failures + " times in a row");
-        } else if (upstream.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
-            actions.log(upstream + " is set aside for " + stats.spec.name() + " alone, which it failed "
-                    + ofClass.failures + " times in a row; trying it now and then");
-            ofClass.apart = true;
-            ofClass.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
-        }
-    }
-
-    private void servedAgain(UpstreamState upstream, ClassStats stats) {
-        Probation ofClass = upstream.probation(stats);
-        ofClass.failures = 0;
-        if (ofClass.apart) {
-            ofClass.apart = false;
-            actions.log(upstream + " serves " + stats.spec.name() + " again");
-        }
-    }
+    // ---- Upstreams that are silent or fail (OutlierEjection): what is stuck there may get a second copy.
 
     private void answered(double nowMs, UpstreamState upstream) {
-        upstream.heardMs = nowMs;
-        upstream.probation.failures = 0;
-        if (upstream.setAside != null) {
-            actions.log(upstream + " answers again and is back in the draw");
-            // Else a cut share hardly climbs back.
+        if (ejection.answered(nowMs, upstream)) { // else a cut share hardly climbs back
             upstream.share = Math.max(upstream.share, 1.0 / members.size());
         }
-        upstream.setAside = null;
-    }
-
-    private static boolean avoided(double nowMs, Call call, UpstreamState upstream) {
-        Probation ofClass = upstream.probation(call.stats);
-        return upstream.setAside != null && nowMs < upstream.probation.atMs
-                || ofClass.apart && nowMs < ofClass.atMs;
     }
 
     private void watchSilence(double nowMs) {
         for (UpstreamState upstream : members) {
-            if (asks && upstream.setAside != null && nowMs >= upstream.probation.atMs) {
-                upstream.probation.note(nowMs);
+            if (asks && upstream.probation.ejected && !upstream.probation.excludes(nowMs)) {
+                upstream.probation.tried(nowMs);
                 actions.probe(upstream.id);
             }
             Attempt oldest = upstream.attempts.peekFirst();
@@ -648,14 +609,8 @@
             }
             double ageMs = nowMs - oldest.sentMs;
             guess(nowMs, upstream, Math.max(upstream.load, ageMs / oldest.call.stats.quietMs()));
-            double silentMs = nowMs - Math.max(upstream.heardMs, oldest.sentMs);
-            double typicalMs = oldest.call.stats.typicalMs;
-            // One attempt alone is often slow by chance; several that wait together hardly are.
-            double enough = Math.max(SILENCE, oldest.call.stats.tail) / upstream.inFlight;
-            if (silentMs > Math.max(1.5, enough) * typicalMs) {
-                setAside(nowMs, upstream, "silent for " + Math.round(silentMs) + " ms");
-            }
-            if (upstream.setAside != null && settings.limits().secondCopies() && waiting.isEmpty()) {
+            ejection.checkSilence(nowMs, upstream, oldest);
+            if (upstream.probation.ejected && settings.limits().secondCopies() && waiting.isEmpty()) {
                 for (Attempt attempt : upstream.attempts) {
                     copy(nowMs, attempt);
                 }
--- a/src/main/java/umberkeel/Probation.java
+++ b/src/main/java/umberkeel/Probation.java
@@ -1,25 +1,31 @@
 package umberkeel;
 
-/** Failures in a row and, once they have led to a set-aside, when the next trial is due: ever rarer. */
+/** Failures in a row and, once they have led to an ejection, when the next trial is due: ever rarer. */
 final class Probation {
 
+    private static final double FIRST_GAP_MS = 250; // doubled before each trial, the first one too
+    private static final double LONGEST_GAP_MS = 4000;
+
     int failures;
-    /** Whether it is set aside for the class of this probation. */
-    boolean apart;
-    double atMs;
+    boolean ejected;
+    private double nextTrialMs;
     private double gapMs;
-    private double longestGapMs;
 
-    /** Begins with a first trial after twice this gap. */
-    void begin(double nowMs, double firstGapMs, double longestMs) {
-        gapMs = firstGapMs;
-        longestGapMs = longestMs;
-        note(nowMs);
+    /** Begins with an ejection. */
+    void begin(double nowMs) {
+        ejected = true;
+        gapMs = FIRST_GAP_MS;
+        tried(nowMs);
+    }
+
+    /** A trial is made now. */
+    void tried(double nowMs) {
+        gapMs = Math.min(2 * gapMs, LONGEST_GAP_MS);
+        nextTrialMs = nowMs + gapMs;
     }
 
-    /** One is made now. */
-    void note(double nowMs) {
-        gapMs = Math.min(2 * gapMs, longestGapMs);
-        atMs = nowMs + gapMs;
+    /** Whether it is ejected and no trial is due. */
+    boolean excludes(double nowMs) {
+        return ejected && nowMs < nextTrialMs;
     }
 }
--- a/src/main/java/umberkeel/UpstreamList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import umberkeel.Balancer.ListKind;
 import umberkeel.Balancer.Status;
@@ -35,13 +36,8 @@
             known.listed = entry;
         }
         members.removeIf(upstream -> !upstream.ready());
-        upstreams.removeIf(upstream -> {
-            boolean gone = upstream.listed.status() == Status.GONE;
-            if (gone) {
-                byId.remove(upstream.id, upstream);
-            }
-            return gone;
-        });
+        upstreams.removeIf(upstream -> upstream.listed.status() == Status.GONE);
+        byId.values().removeIf(upstream -> upstream.listed.status() == Status.GONE);
     }
 
     /** The upstream of this id, or null where none is listed. */
@@ -51,13 +47,8 @@
 
     /** The ready upstreams that are not members. */
     List<UpstreamState> candidates() {
-        List<UpstreamState> candidates = new ArrayList<>();
-        for (UpstreamState upstream : upstreams) {
-            if (upstream.ready() && !members.contains(upstream)) {
-                candidates.add(upstream);
-            }
-        }
-        return candidates;
+        return upstreams.stream().filter(upstream -> upstream.ready() && !members.contains(upstream))
+                .collect(Collectors.toCollection(ArrayList::new));
     }
 
     /** Scales the members' shares to a sum of 1. */
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -33,8 +33,6 @@
     /** Quiet latencies that a request sent at the latest report would take, and when that was. */
     double load;
     double reportMs = Double.NEGATIVE_INFINITY;
-    /** Why it is set aside; null while it is not. */
-    String setAside;
     /** Of it as a whole, and of the classes that have been sent to it. */
     final Probation probation = new Probation();
     private final Map<ClassStats, Probation> classProbation = new HashMap<>();
