--- a/src/main/java/umberkeel/ClassStats.java
+++ b/src/main/java/umberkeel/ClassStats.java
@@ -3,6 +3,8 @@
 /** What {@link LoadShiftingBalancer} has seen of one class of requests. */
 final class ClassStats {
 
+    static final double SMOOTHING = 32; // values over which a mean is smoothed
+
     final Balancer.RequestClass spec;
     /** The running median of latencies, and what it was when the servers were quiet. */
     double typicalMs;
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -17,7 +17,7 @@
 public final class LoadShiftingBalancer implements Balancer {
 
     private static final double STEP = 0.2; // of a share, for a deviation of one mean in a tick: the paper's
-    private static final double TICK_MS = 1000; // many answers fall into it, and moved load shows within it
+    static final double TICK_MS = 1000; // many answers fall into it, and moved load shows within it
     private static final double MOST_DEVIATION = 2; // in means: a factor is never under 1 - 0.2 x 2
     private static final double KEEP = 0.85; // of a tick's samples for the next, where they were few
     private static final double ENOUGH = 8; // samples in a tick that need none from before
@@ -27,14 +27,13 @@
     private static final int COVER = 8; // sidecars that hold a server, at least: fewer cover unevenly
     private static final double MEDIAN_STEP = 0.02; // what one answer moves a running median
     private static final double FIRST_TYPICAL = 8; // of them in an aim, before any answer is known
-    private static final double SMOOTHING = 32; // answers over which a server's latency is smoothed
+    private static final double SMOOTHING = ClassStats.SMOOTHING;
     private static final double FORGET = 0.005; // of the quiet latency in a tick: machines change
     private static final double FORGET_STARVED = 0.05; // the same, where even single attempts are slow
     private static final double BARELY = 2; // typical latencies: a shorter time-out is no failure
     private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
     private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
-    private static final double COLD_RATE = 1.5; // of what a warm member of the size is sent, at a cold one
     private static final int MOST_ASKS = 6; // servers asked for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
     private static final double LAST_CALL = 2.5; // typical latencies before the aim, when waiting ends
@@ -54,6 +53,7 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final OutlierEjection ejection;
+    private final SlowStart slowStart;
     private final double controlMs;
     private final List<ClassStats> classes = new ArrayList<>();
     private final UpstreamList list = new UpstreamList();
@@ -62,8 +62,6 @@
     private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
             .thenComparingLong(call -> -call.order));
     private long received;
-    private double meanCostMs; // of the requests that came with a hint
-    private long hinted;
     private final boolean asks;
     private final List<Call> asking = new ArrayList<>();
     private boolean controlArmed;
@@ -71,8 +69,6 @@
     private int listFailures;
     private double nextShareTickMs;
     private double extra = EXTRA_SAVED / 2;
-    private double sentPerMs;
-    private int sent; // in this tick
     private final DecayedRatio inTime = new DecayedRatio(); // attempts answered within the aim
     private int shed; // in this tick
     private boolean shedding;
@@ -85,6 +81,7 @@
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         this.ejection = new OutlierEjection(actions);
+        this.slowStart = new SlowStart(settings.contract());
         settings.classes().forEach(spec -> classes.add(
                 new ClassStats(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
         asks = settings.limits().probes() && settings.reportsOnProbe();
@@ -112,9 +109,7 @@
         Call call = new Call(request, stats, value, received++, nowMs + aimMs, nowMs + usefulMs);
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
-        if (call.costMs > 0) {
-            meanCostMs += (call.costMs - meanCostMs) / Math.min(SMOOTHING, ++hinted);
-        }
+        slowStart.requested(call.costMs);
         extra = Math.min(EXTRA_SAVED, extra + EXTRA);
         armControl();
         if (mustYield(call)) {
@@ -165,7 +160,7 @@
             boolean tried = call.attempts.size() < members.size() && call.tried(upstream);
             boolean excluded = tried || avoid && ejection.excludes(nowMs, upstream, call.stats);
             if (!excluded && fit(nowMs, call, upstream)) {
-                double weight = upstream.share * warmth(nowMs, upstream);
+                double weight = upstream.share * slowStart.warmth(nowMs, upstream.listed);
                 sum += weight;
                 drawn = random.nextDouble() * sum < weight ? upstream : drawn;
             }
@@ -188,10 +183,8 @@
 
     private void send(double nowMs, Call call, UpstreamState upstream) {
         extra -= call.attempts.isEmpty() ? 0 : 1;
-        sent++;
         call.begin(upstream, nowMs);
-        // A heavy request is a part of the budget that is larger by so much.
-        upstream.slowStartBudget.take(call.costMs > 0 ? call.costMs / meanCostMs : 1);
+        slowStart.sent(upstream.slowStartBudget, call.costMs);
         ejection.sent(nowMs, upstream, call.stats);
         actions.send(call.id, upstream.id, call.usefulUntilMs - nowMs);
     }
@@ -272,8 +265,7 @@
             stats.quietMs = stats.answers < SMOOTHING ? 0 : floor(stats.quietMs(), stats.typicalMs, forget);
         }
         members.forEach(m -> m.quietRatio = Math.max(1, floor(m.quietRatio, m.smoothRatio, FORGET)));
-        sentPerMs = (sentPerMs + sent / TICK_MS) / 2;
-        sent = 0;
+        slowStart.tick();
         inTime.fade(KEEP);
         if (shed > 0 != shedding) {
             shedding = shed > 0;
@@ -429,37 +421,11 @@
         }
     }
 
-    // ---- Room. Cold servers: guards against pushing over one that has just started. Acts for the contract's
-    // time: first attempts only, at COLD_RATE of a member's mean rate at most, for the part that is warm.
-
-    private double warmth(double nowMs, UpstreamState upstream) {
-        Contract contract = settings.contract();
-        double ageMs = nowMs - upstream.listed.startedMs();
-        if (upstream.listed.startedMs() <= 0 || ageMs >= contract.coldMs()) {
-            return 1;
-        }
-        return contract.coldFrom() + (1 - contract.coldFrom()) * Math.max(0, ageMs) / contract.coldMs();
-    }
-
     private boolean hasRoom(double nowMs, Call call, UpstreamState upstream) {
-        double warmth = warmth(nowMs, upstream);
+        double warmth = slowStart.warmth(nowMs, upstream.listed);
         return upstream.limit.admits(nowMs, upstream.inFlight, warmth)
-                && (warmth >= 1 || call.attempts.isEmpty() && slowStartBudget(nowMs, upstream, warmth));
-    }
-
-    /**
-     * The budget of a cold server is {@code factor} times what it can do, and a warm one of its size takes
-     * no more than it can do. So all sidecars together keep to it if each sends at {@code rate} times its own
-     * part of what a warm one takes, and saves no more than the rest of the budget: what is saved lapses.
-     */
-    private boolean slowStartBudget(double nowMs, UpstreamState upstream, double warmth) {
-        Contract contract = settings.contract();
-        double rate = Math.min(COLD_RATE, contract.overloadFactor() / 2);
-        double spanMs = Math.max(TICK_MS / 4, contract.overloadMs());
-        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
-        double part = weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
-        double lapseMs = spanMs * (contract.overloadFactor() - rate) / rate;
-        return upstream.slowStartBudget.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
+                && (warmth >= 1 || call.attempts.isEmpty()
+                && slowStart.admits(nowMs, upstream.slowStartBudget, warmth, list.weightPart(upstream)));
     }
 
     private boolean sparse() {
--- a/src/main/java/umberkeel/OutlierEjection.java
+++ b/src/main/java/umberkeel/OutlierEjection.java
@@ -1,7 +1,5 @@
 package umberkeel;
 
-import umberkeel.Balancer.Actions;
-
 /**
  * Takes upstreams out of the draw that are silent (hung, paused, out of reach) or fail. Acts on silence of
  * the attempts in flight, or on failures in a row: of one class for that class alone, where others are
@@ -13,9 +11,9 @@
     private static final double SILENCE = 3; // typical latencies, over the attempts in flight, that tell
     private static final double LEAST_SILENCE = 1.5; // the same, however many attempts are in flight
 
-    private final Actions actions;
+    private final Balancer.Actions actions;
 
-    OutlierEjection(Actions actions) {
+    OutlierEjection(Balancer.Actions actions) {
         this.actions = actions;
     }
 
--- a/src/main/java/umberkeel/UpstreamList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -51,6 +51,12 @@
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
+    /** The part of the members' weight that an upstream has. */
+    double weightPart(UpstreamState upstream) {
+        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
+        return weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
+    }
+
     /** Scales the members' shares to a sum of 1. */
     void normalise() {
         double total = 0;
