Give retries and their budget a class and tests of its own

RetryPolicy takes requests and attempts, and tells whether a request may have a further attempt, at which upstreams, and whether its client may repeat it.

The new test's nine cases pass.

--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -10,8 +10,7 @@
     final Balancer.Upstream sentTo;
     final double sentMs;
     final double timeoutMs;
-    /** Null while it is out. */
-    Balancer.Outcome outcome;
+    Balancer.Outcome outcome; // null while it is out
 
     Attempt(Call call, UpstreamState upstream, double sentMs, double timeoutMs) {
         this.call = call;
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -23,8 +23,7 @@
     boolean done;
     boolean served;
     boolean streaming;
-    /** When its client's first try came. */
-    double firstMs;
+    double firstMs; // when its client's first try came
 
     Call(Balancer.Request request, ClassStats stats, double value, long order, double aimUntilMs,
             double usefulUntilMs) {
--- a/src/main/java/umberkeel/ClassStats.java
+++ b/src/main/java/umberkeel/ClassStats.java
@@ -6,19 +6,14 @@
     static final double SMOOTHING = 32; // values over which a mean is smoothed
 
     final Balancer.RequestClass spec;
-    /** The running median of latencies, and what it was when the servers were quiet. */
-    double typicalMs;
-    double quietMs;
-    /** The running tail of latencies, in typical ones. */
-    double tail = 8;
+    double typicalMs; // the running median of latencies
+    double quietMs; // what it was when the upstreams were quiet; 0 until that is known
+    double tail = 8; // the running tail of latencies, in typical ones
     int answers;
-    /** Requests that came and requests served, older ones counting less. */
-    double offered;
-    double served;
-    /** The patience that most first tries state. */
-    final MajorityVote patience = new MajorityVote();
-    /** First tries whose clients may come again. */
-    final UnservedTries unserved;
+    double offered; // requests that came, older ones counting less
+    double served; // of them
+    final MajorityVote patience = new MajorityVote(); // the patience that most first tries state
+    final UnservedTries unserved; // first tries whose clients may come again
 
     ClassStats(Balancer.RequestClass spec, double typicalMs, double jitterMs) {
         unserved = new UnservedTries(spec.deadlineMs(), jitterMs);
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -40,8 +40,6 @@
     private static final double LONGEST_CALL = 0.65; // of the aim, for that
     private static final double WELL_SERVED = 0.9; // of a class: under it the worst one goes first
     private static final double THROTTLE = 1.4; // attempts for each in time, beyond which some are refused
-    private static final double EXTRA = 0.25; // further attempts and second copies for each request
-    private static final double EXTRA_SAVED = 20; // of them that may be saved up
     private static final double KEPT_ROOM = 1.2; // of the root of the clients' connections, for the worthiest
     private static final double REPEAT_WORTH = 0.1; // of a first try: the aim has run since that
 
@@ -54,6 +52,7 @@
     private final SplittableRandom random;
     private final OutlierEjection ejection;
     private final SlowStart slowStart;
+    private final RetryPolicy retries;
     private final double controlMs;
     private final List<ClassStats> classes = new ArrayList<>();
     private final UpstreamList list = new UpstreamList();
@@ -68,7 +67,6 @@
     private boolean subscribeArmed;
     private int listFailures;
     private double nextShareTickMs;
-    private double extra = EXTRA_SAVED / 2;
     private final DecayedRatio inTime = new DecayedRatio(); // attempts answered within the aim
     private int shed; // in this tick
     private boolean shedding;
@@ -82,6 +80,7 @@
         this.random = new SplittableRandom(seed);
         this.ejection = new OutlierEjection(actions);
         this.slowStart = new SlowStart(settings.contract());
+        this.retries = new RetryPolicy(settings.limits().maxAttempts());
         settings.classes().forEach(spec -> classes.add(
                 new ClassStats(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
         asks = settings.limits().probes() && settings.reportsOnProbe();
@@ -110,7 +109,7 @@
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
         slowStart.requested(call.costMs);
-        extra = Math.min(EXTRA_SAVED, extra + EXTRA);
+        retries.requested();
         armControl();
         if (mustYield(call)) {
             giveUp(call);
@@ -177,12 +176,12 @@
     }
 
     private boolean fit(double nowMs, Call call, UpstreamState upstream) {
-        return mayGoTo(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
+        return retries.allowsAt(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
                 && !crowded(nowMs, call, upstream);
     }
 
     private void send(double nowMs, Call call, UpstreamState upstream) {
-        extra -= call.attempts.isEmpty() ? 0 : 1;
+        retries.sending(call);
         call.begin(upstream, nowMs);
         slowStart.sent(upstream.slowStartBudget, call.costMs);
         ejection.sent(nowMs, upstream, call.stats);
@@ -298,7 +297,7 @@
         }
         if (end.requestDone() || call.done) {
             finish(call);
-        } else if (call.inFlight == 0 && mayResend(nowMs, call)) {
+        } else if (call.inFlight == 0 && retries.allows(nowMs, call)) {
             place(nowMs, call);
         } else if (call.inFlight == 0) {
             giveUp(call);
@@ -354,24 +353,8 @@
         return value < floor ? (floor + value) / 2 : floor * (1 + forget);
     }
 
-    private boolean mayResend(double nowMs, Call call) {
-        return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
-                && call.usefulUntilMs - nowMs >= call.stats.typicalMs
-                && (call.stats.spec.effect() != Effect.UNSAFE || call.provenNotRun());
-    }
-
-    /** A keyed request that may have run goes only to the group that drops its repeats, within the window. */
-    private boolean mayGoTo(double nowMs, Call call, UpstreamState upstream) {
-        RequestClass spec = call.stats.spec;
-        return spec.effect() != Effect.KEYED || call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
-                || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), upstream.listed));
-    }
-
     private void giveUp(Call call) {
-        // A refusal says that coming again is harmless.
-        Effect effect = call.stats.spec.effect();
-        if (effect == Effect.SAFE || effect == Effect.KEYED && call.stats.spec.group() == Group.ALL
-                || call.provenNotRun()) {
+        if (retries.isRepeatHarmless(call)) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
         } else {
             actions.fail(call.id);
@@ -588,7 +571,7 @@
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
         boolean due = !call.done && call.inFlight == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
-        UpstreamState other = due && mayResend(nowMs, call) ? pick(nowMs, call) : null;
+        UpstreamState other = due && retries.allows(nowMs, call) ? pick(nowMs, call) : null;
         if (other != null && other != stuck.upstream) {
             send(nowMs, call, other);
         }
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -10,32 +10,23 @@
     private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded upstream takes
 
     final int id;
-    /** What discovery said last. */
-    Balancer.Upstream listed;
-    /** Whether it was a candidate for the subset before. */
-    boolean weighed;
-    /** Its part of the draw. */
-    double share;
-    /** Latencies of this tick, and of earlier ones where they are few, over the class's typical one. */
-    double latencySum;
+    Balancer.Upstream listed; // what discovery said last
+    boolean weighed; // whether it was a candidate for the subset before
+    double share; // its part of the draw
+    double latencySum; // over typical latencies: this tick's samples, and earlier ones if few
     double samples;
-    /** Their mean at the last tick, and how far it can be trusted. */
-    double tickLatency;
-    double trust;
-    /** Latency over the quiet one of its class: smoothed, and when this upstream is quiet itself. */
-    double smoothRatio = 1;
-    double quietRatio = 1;
+    double tickLatency; // the mean of them at the last tick
+    double trust; // how far that mean can be trusted, from 0 to 1
+    double smoothRatio = 1; // latency over the quiet one of its class, smoothed
+    double quietRatio = 1; // the same when this upstream is quiet itself
     final ConcurrencyLimit limit = new ConcurrencyLimit();
     int inFlight;
-    /** Attempts still out, oldest first, but for started streams. */
-    final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
+    final ArrayDeque<Attempt> attempts = new ArrayDeque<>(); // in flight, oldest first, without streams
     double heardMs;
-    /** Quiet latencies that a request sent at the latest report would take, and when that was. */
-    double load;
+    double load; // quiet latencies that a request sent at the latest report would take
     double reportMs = Double.NEGATIVE_INFINITY;
-    /** Of it as a whole, and of the classes that have been sent to it. */
-    final Probation probation = new Probation();
-    private final Map<ClassStats, Probation> classProbation = new HashMap<>();
+    final Probation probation = new Probation(); // of it as a whole
+    private final Map<ClassStats, Probation> classProbation = new HashMap<>(); // of classes sent to it
     final TokenBucket slowStartBudget = new TokenBucket();
 
     UpstreamState(Balancer.Upstream listed) {
--- /dev/null
+++ b/src/test/java/umberkeel/RetryPolicyTest.java
@@ -0,0 +1,139 @@
+package umberkeel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+import umberkeel.Balancer.Effect;
+import umberkeel.Balancer.Group;
+import umberkeel.Balancer.Outcome;
+import umberkeel.Balancer.Status;
+
+class RetryPolicyTest {
+
+    private static final double TYPICAL_MS = 100;
+    private static final double USEFUL_UNTIL_MS = 1000;
+
+    private final RetryPolicy retries = new RetryPolicy(3);
+    /** In zone 1 and cell 1; 3 is in the same zone, 4 in the same cell. */
+    private final UpstreamState first = upstream(1);
+
+    private static UpstreamState upstream(int id) {
+        return new UpstreamState(Sidecar.upstream(id, Status.READY, 0));
+    }
+
+    private static Call call(Effect effect, Group group) {
+        ClassStats stats = new ClassStats(Samples.requestClass(effect, group, 1), TYPICAL_MS, 10);
+        return new Call(new Balancer.Request(1, 0, 0, 4000, false, 0), stats, 1, 0, USEFUL_UNTIL_MS,
+                USEFUL_UNTIL_MS);
+    }
+
+    /** A call with one attempt that has ended so, or is in flight for null. */
+    private Call sent(Effect effect, Group group, Outcome outcome) {
+        Call call = call(effect, group);
+        call.begin(first, 0);
+        if (outcome != null) {
+            call.attempt(0).end(outcome);
+        }
+        return call;
+    }
+
+    @Test
+    void theBudgetBeginsHalfFullAndIsSpentByRetries() {
+        Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
+        int resent = 0;
+        while (retries.allows(0, call)) {
+            retries.sending(call);
+            resent++;
+        }
+        assertEquals(10, resent);
+    }
+
+    @Test
+    void fourRequestsEarnOneRetryUpToTwenty() {
+        Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
+        for (int i = 0; i < 10; i++) {
+            retries.sending(call);
+        }
+        for (int i = 0; i < 3; i++) {
+            retries.requested();
+        }
+        assertFalse(retries.allows(0, call));
+        retries.requested();
+        assertTrue(retries.allows(0, call));
+        for (int i = 0; i < 1000; i++) {
+            retries.requested();
+        }
+        for (int i = 0; i < 19; i++) {
+            retries.sending(call);
+        }
+        assertTrue(retries.allows(0, call));
+        retries.sending(call);
+        assertFalse(retries.allows(0, call));
+    }
+
+    @Test
+    void firstAttemptsTakeNothingFromTheBudget() {
+        for (int i = 0; i < 100; i++) {
+            retries.sending(call(Effect.SAFE, Group.ALL));
+        }
+        assertTrue(retries.allows(0, sent(Effect.SAFE, Group.ALL, Outcome.ERROR)));
+    }
+
+    @Test
+    void noMoreAttemptsThanTheLimit() {
+        Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
+        call.begin(upstream(2), 0);
+        assertTrue(retries.allows(0, call));
+        call.begin(upstream(3), 0);
+        assertFalse(retries.allows(0, call));
+    }
+
+    @Test
+    void noRetryThatWouldHardlyBeInTime() {
+        Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
+        assertTrue(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS, call));
+        assertFalse(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS + 1, call));
+    }
+
+    @Test
+    void anUnsafeRequestIsSentAgainOnlyIfItIsKnownNotToHaveRun() {
+        for (Outcome outcome : Outcome.values()) {
+            assertEquals(outcome.provesNotRun(), retries.allows(0, sent(Effect.UNSAFE, Group.ALL, outcome)),
+                    outcome.name());
+        }
+        assertFalse(retries.allows(0, sent(Effect.UNSAFE, Group.ALL, null)));
+    }
+
+    @Test
+    void aKeyedRequestThatMayHaveRunStaysInItsGroup() {
+        Call zonal = sent(Effect.KEYED, Group.ZONE, Outcome.TIMEOUT);
+        assertTrue(retries.allowsAt(1, zonal, upstream(3)));
+        assertFalse(retries.allowsAt(1, zonal, upstream(4)));
+        Call cellular = sent(Effect.KEYED, Group.CELL, null);
+        assertFalse(retries.allowsAt(1, cellular, upstream(3)));
+        assertTrue(retries.allowsAt(1, cellular, upstream(4)));
+        assertTrue(retries.allowsAt(1, sent(Effect.KEYED, Group.ALL, Outcome.RESET), upstream(2)));
+    }
+
+    @Test
+    void aKeyedRequestThatMayHaveRunIsNotSentOnceItsKeyMayBeForgotten() {
+        Call call = sent(Effect.KEYED, Group.ALL, Outcome.TIMEOUT); // for 600 ms, by Samples
+        assertTrue(retries.allowsAt(599, call, upstream(2)));
+        assertFalse(retries.allowsAt(600, call, upstream(2)));
+        assertTrue(retries.allowsAt(600, sent(Effect.KEYED, Group.ZONE, Outcome.REJECTED), upstream(2)));
+        assertTrue(retries.allowsAt(600, sent(Effect.SAFE, Group.ZONE, Outcome.TIMEOUT), upstream(2)));
+    }
+
+    @Test
+    void aRefusalNeverInvitesToRunTwiceWhatMustNot() {
+        assertTrue(retries.isRepeatHarmless(sent(Effect.SAFE, Group.ZONE, Outcome.TIMEOUT)));
+        assertTrue(retries.isRepeatHarmless(sent(Effect.KEYED, Group.ALL, Outcome.TIMEOUT)));
+        assertFalse(retries.isRepeatHarmless(sent(Effect.KEYED, Group.ZONE, Outcome.TIMEOUT)));
+        assertFalse(retries.isRepeatHarmless(sent(Effect.UNSAFE, Group.ALL, Outcome.TIMEOUT)));
+        assertTrue(retries.isRepeatHarmless(sent(Effect.UNSAFE, Group.ALL, Outcome.CONNECT_FAILED)));
+        assertTrue(retries.isRepeatHarmless(call(Effect.UNSAFE, Group.ALL)));
+    }
+}
