--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -25,14 +25,9 @@
     private static final double LEAST_SHARE = 0.1; // of the mean share, so that each member is still seen
     private static final int SUBSET = 10; // members: the design's "about ten"
     private static final int COVER = 8; // sidecars that hold a server, at least: fewer cover unevenly
-    private static final double MEDIAN_STEP = 0.02; // what one answer moves a running median
-    private static final double FIRST_TYPICAL = 8; // of them in an aim, before any answer is known
-    private static final double SMOOTHING = ClassStats.SMOOTHING;
     private static final double FORGET = 0.005; // of the quiet latency in a tick: machines change
     private static final double FORGET_STARVED = 0.05; // the same, where even single attempts are slow
     private static final double BARELY = 2; // typical latencies: a shorter time-out is no failure
-    private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
-    private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
     private static final int MOST_ASKS = 6; // servers asked for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
@@ -43,7 +38,6 @@
     private static final double KEPT_ROOM = 1.2; // of the root of the clients' connections, for the worthiest
     private static final double REPEAT_WORTH = 0.1; // of a first try: the aim has run since that
 
-    private static final double FADE = 0.02; // of what was offered and served that is forgotten in a tick
     private static final double TICKS_IN_AIM = 16; // control ticks within the shortest aim
     private static final int SUBSCRIBE_TIMER = 2; // any other is the control timer
 
@@ -81,8 +75,7 @@
         this.ejection = new OutlierEjection(actions);
         this.slowStart = new SlowStart(settings.contract());
         this.retries = new RetryPolicy(settings.limits().maxAttempts());
-        settings.classes().forEach(spec -> classes.add(
-                new ClassStats(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
+        settings.classes().forEach(spec -> classes.add(new ClassStats(spec, settings.tickMs())));
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
@@ -99,7 +92,7 @@
     @Override
     public void request(double nowMs, Request request) {
         ClassStats stats = classes.get(request.requestClass());
-        double elapsedMs = elapsedMs(nowMs, request, stats);
+        double elapsedMs = stats.elapsedMs(nowMs, request, settings.repeatsMarked());
         double answerMs = request.timeoutMs() - 2 * settings.tickMs();
         double aimMs = Math.min(answerMs, stats.spec.aimMs() - elapsedMs - 2 * settings.tickMs());
         double usefulMs = stats.spec.lateWorth() == 0 ? aimMs : answerMs; // else what is late earns too
@@ -259,11 +252,8 @@
         // Slow with single attempts: after a while that is taken for the servers' latency, not for a queue.
         boolean starved = shed > 0 && members.stream().allMatch(upstream -> upstream.limit.isSingle());
         double forget = starved ? FORGET_STARVED : FORGET;
-        for (ClassStats stats : classes) {
-            stats.fade(1 - FADE);
-            stats.quietMs = stats.answers < SMOOTHING ? 0 : floor(stats.quietMs(), stats.typicalMs, forget);
-        }
-        members.forEach(m -> m.quietRatio = Math.max(1, floor(m.quietRatio, m.smoothRatio, FORGET)));
+        classes.forEach(stats -> stats.tick(forget));
+        members.forEach(upstream -> upstream.tick(FORGET));
         slowStart.tick();
         inTime.fade(KEEP);
         if (shed > 0 != shedding) {
@@ -311,19 +301,16 @@
         if (how == Outcome.OK) {
             answered(nowMs, upstream);
             ejection.served(upstream, stats);
-            stats.answers++;
-            stats.served++;
             attempt.call.served = true;
-            moveTypical(stats, latencyMs);
-            stats.tail *= 1 + TAIL_STEP * ((latencyMs > stats.tail * stats.typicalMs ? 1 : 0) - TAIL_PART);
-            upstream.smoothRatio += (latencyMs / stats.quietMs() - upstream.smoothRatio) / SMOOTHING;
+            stats.answered(latencyMs);
+            upstream.served(latencyMs / stats.quietMs());
         } else if (how == Outcome.NOT_SENT || how == Outcome.CANCELLED && latencyMs < stats.typicalMs) {
             return;
         } else if (how != Outcome.CANCELLED) {
             // A failure counts at its time-out: else an upstream that fails at once would draw load.
             latencyMs = Math.max(latencyMs, attempt.timeoutMs);
             if (how == Outcome.TIMEOUT) {
-                moveTypical(stats, latencyMs); // else a jammed fleet, all time-outs, looks quiet
+                stats.moveTypical(latencyMs); // else a jammed fleet, all time-outs, looks quiet
             }
             // That a client has little patience says nothing against an upstream.
             boolean impatient = how == Outcome.TIMEOUT && latencyMs < BARELY * stats.typicalMs;
@@ -343,16 +330,6 @@
         }
     }
 
-    private static void moveTypical(ClassStats stats, double latencyMs) {
-        double step = Math.max(MEDIAN_STEP, 1.0 / (2 + stats.answers)); // the less, the more is known
-        stats.typicalMs *= 1 + step * Math.signum(latencyMs - stats.typicalMs);
-    }
-
-    /** A floor that follows lower values by halves (the least of noisy ones would sink), and forgets. */
-    private static double floor(double floor, double value, double forget) {
-        return value < floor ? (floor + value) / 2 : floor * (1 + forget);
-    }
-
     private void giveUp(Call call) {
         if (retries.isRepeatHarmless(call)) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
@@ -519,25 +496,6 @@
         return yields;
     }
 
-    // What has passed since the client's first try. First tries of a class state the same patience, the one
-    // most often seen; a later try states what is left of its deadline, which tells when the first one came.
-    // Where none came then that ended unserved, this is a first try with a patience of its own. This keeps an
-    // impatient crowd from being refused as late repeats. It hurts where that first try went unseen,
-    // lost with a sidecar or for want of a connection: its repeats are served as if they were new.
-    private double elapsedMs(double nowMs, Request request, ClassStats stats) {
-        double deadlineMs = stats.spec.deadlineMs();
-        boolean usual = stats.patience.count(request.timeoutMs(), jitterMs(stats.spec));
-        double goneMs = Math.max(0, deadlineMs - request.timeoutMs());
-        boolean first = settings.repeatsMarked() ? !request.repeat()
-                : usual || !stats.unserved.take(nowMs - goneMs);
-        return first ? 0 : goneMs;
-    }
-
-    /** Of the patience that first tries state. */
-    private double jitterMs(RequestClass spec) {
-        return 2 * settings.tickMs() + spec.deadlineMs() / 500;
-    }
-
     // ---- Upstreams that are silent or fail (OutlierEjection): what is stuck there may get a second copy.
 
     private void answered(double nowMs, UpstreamState upstream) {
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -43,6 +43,14 @@
         return CROWDED * stats.quietMs() * quietRatio / latencyMs - 1;
     }
 
+    void served(double latencyRatio) {
+        smoothRatio += (latencyRatio - smoothRatio) / ClassStats.SMOOTHING;
+    }
+
+    void tick(double forget) {
+        quietRatio = Math.max(1, ClassStats.floor(quietRatio, smoothRatio, forget));
+    }
+
     /** Notes a report. */
     void report(double nowMs, double requestLoad) {
         load = requestLoad;
--- a/src/test/java/umberkeel/OutlierEjectionTest.java
+++ b/src/test/java/umberkeel/OutlierEjectionTest.java
@@ -29,7 +29,9 @@
     private final ClassStats writes = stats();
 
     private static ClassStats stats() {
-        return new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1), TYPICAL_MS, 10);
+        ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.TICK_MS);
+        stats.typicalMs = TYPICAL_MS;
+        return stats;
     }
 
     private void fails(double nowMs, ClassStats stats, int times) {
--- a/src/test/java/umberkeel/RetryPolicyTest.java
+++ b/src/test/java/umberkeel/RetryPolicyTest.java
@@ -25,7 +25,8 @@
     }
 
     private static Call call(Effect effect, Group group) {
-        ClassStats stats = new ClassStats(Samples.requestClass(effect, group, 1), TYPICAL_MS, 10);
+        ClassStats stats = new ClassStats(Samples.requestClass(effect, group, 1), Samples.TICK_MS);
+        stats.typicalMs = TYPICAL_MS;
         return new Call(new Balancer.Request(1, 0, 0, 4000, false, 0), stats, 1, 0, USEFUL_UNTIL_MS,
                 USEFUL_UNTIL_MS);
     }
