Give admission control and load shedding classes and tests of their own

Which requests are refused as they come, for want of clients' connections or since most attempts come late, and which of those that wait are shed, stood in LoadShiftingBalancer with their counters and notices.

AdmissionControl tells what a request is worth and which request must leave its connection to a worthier one; LoadShedder holds the waiting requests in order and takes out the late ones. DecayedRatio was used for admission alone and goes into it.

--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -21,7 +21,6 @@
         this.timeoutMs = timeoutMs;
     }
 
-    /** Notes its end. */
     void end(Balancer.Outcome how) {
         outcome = how;
         call.inFlight--;
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -8,18 +8,16 @@
 
     final int id;
     final ClassStats stats;
-    /** What an answer is worth where not all can be served, and its place in the order of arrival. */
-    final double value;
-    final long order;
+    final double value; // what an answer is worth where not all can be served
+    final long order; // of arrival
     final double aimUntilMs;
     final double usefulUntilMs;
     final double costMs;
     final List<Attempt> attempts = new ArrayList<>(2);
     int inFlight;
-    /** Servers asked for their load on behalf of this request; the one asked now, or null, and since when. */
-    int asks;
-    UpstreamState asked;
-    double askedMs;
+    int asks; // upstreams probed for their load on behalf of this request
+    UpstreamState asked; // the one probed now, or null
+    double askedMs; // since when
     boolean done;
     boolean served;
     boolean streaming;
@@ -57,7 +55,6 @@
         upstream.attempts.addLast(attempt);
     }
 
-    /** The attempt of this number, or null if there is none. */
     Attempt attempt(int number) {
         return number >= 0 && number < attempts.size() ? attempts.get(number) : null;
     }
--- a/src/main/java/umberkeel/ClassStats.java
+++ b/src/main/java/umberkeel/ClassStats.java
@@ -57,11 +57,9 @@
     }
 
     /**
-     * What has passed since the client's first try. First tries state the same patience, the one most often
-     * seen; a later try states what is left of its deadline, which tells when the first one came. Where none
-     * came then that ended unserved, this is a first try with a patience of its own: else an impatient crowd
-     * would be refused as late repeats. It hurts where that first try went unseen, lost with a sidecar or for
-     * want of a connection: its repeats are served as if they were new.
+     * What has passed since the client's first try. First tries state the patience most often seen; a later
+     * one states what is left of its deadline, which tells when the first came. Where none came then that
+     * ended unserved, or it went unseen, this is a first try: an impatient crowd is no crowd of late repeats.
      */
     double elapsedMs(double nowMs, Balancer.Request request, boolean repeatsMarked) {
         boolean usual = patience.count(request.timeoutMs(), jitterMs);
--- a/src/main/java/umberkeel/ConcurrencyLimit.java
+++ b/src/main/java/umberkeel/ConcurrencyLimit.java
@@ -13,7 +13,6 @@
     private double attempts;
     private double nextSendMs;
 
-    /** Begins anew for an upstream that is not known yet. */
     void start(double firstAttempts) {
         attempts = Math.max(1, firstAttempts);
     }
@@ -23,7 +22,6 @@
         return inFlight < Math.max(1, attempts * warmth) && nowMs >= nextSendMs;
     }
 
-    /** Whether it has come down to single attempts. */
     boolean isSingle() {
         return attempts <= 1;
     }
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -1,7 +1,6 @@
 package umberkeel;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,11 +30,6 @@
     private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
     private static final int MOST_ASKS = 6; // servers asked for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
-    private static final double LAST_CALL = 2.5; // typical latencies before the aim, when waiting ends
-    private static final double LONGEST_CALL = 0.65; // of the aim, for that
-    private static final double WELL_SERVED = 0.9; // of a class: under it the worst one goes first
-    private static final double THROTTLE = 1.4; // attempts for each in time, beyond which some are refused
-    private static final double KEPT_ROOM = 1.2; // of the root of the clients' connections, for the worthiest
     private static final double REPEAT_WORTH = 0.1; // of a first try: the aim has run since that
 
     private static final double TICKS_IN_AIM = 16; // control ticks within the shortest aim
@@ -47,13 +41,14 @@
     private final OutlierEjection ejection;
     private final SlowStart slowStart;
     private final RetryPolicy retries;
+    private final AdmissionControl admission;
+    private final LoadShedder shedder = new LoadShedder();
+    private final TreeSet<Call> waiting = shedder.waiting;
     private final double controlMs;
     private final List<ClassStats> classes = new ArrayList<>();
     private final UpstreamList list = new UpstreamList();
     private final List<UpstreamState> members = list.members;
     private final Map<Integer, Call> calls = new HashMap<>();
-    private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
-            .thenComparingLong(call -> -call.order));
     private long received;
     private final boolean asks;
     private final List<Call> asking = new ArrayList<>();
@@ -61,12 +56,6 @@
     private boolean subscribeArmed;
     private int listFailures;
     private double nextShareTickMs;
-    private final DecayedRatio inTime = new DecayedRatio(); // attempts answered within the aim
-    private int shed; // in this tick
-    private boolean shedding;
-    private int clientRoom; // 0 where it is not known
-    private int yielded; // in this tick
-    private boolean yielding;
 
     public LoadShiftingBalancer(Settings settings, long seed, Actions actions) {
         this.settings = settings;
@@ -78,6 +67,7 @@
         settings.classes().forEach(spec -> classes.add(new ClassStats(spec, settings.tickMs())));
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
+        admission = new AdmissionControl(settings.goal(), classes);
     }
 
     @Override
@@ -97,33 +87,27 @@
         double aimMs = Math.min(answerMs, stats.spec.aimMs() - elapsedMs - 2 * settings.tickMs());
         double usefulMs = stats.spec.lateWorth() == 0 ? aimMs : answerMs; // else what is late earns too
         stats.offered++;
-        double value = worth(stats) * (request.repeat() || elapsedMs > 0 ? REPEAT_WORTH : 1);
+        double value = admission.worth(stats) * (request.repeat() || elapsedMs > 0 ? REPEAT_WORTH : 1);
         Call call = new Call(request, stats, value, received++, nowMs + aimMs, nowMs + usefulMs);
         call.firstMs = nowMs - elapsedMs;
         calls.put(call.id, call);
         slowStart.requested(call.costMs);
         retries.requested();
         armControl();
-        if (mustYield(call)) {
-            giveUp(call);
-        } else {
+        Call displaced = admission.displaced(call, calls.size(), waiting);
+        if (displaced != null) {
+            waiting.remove(displaced);
+            giveUp(displaced);
+        }
+        if (displaced != call) {
             place(nowMs, call);
         }
     }
 
-    /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
-    private double worth(ClassStats stats) {
-        double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
-        boolean starved = stats.served < WELL_SERVED * stats.offered && classes.stream().noneMatch(
-                other -> other.served * stats.offered < stats.served * other.offered);
-        double lift = starved ? settings.goal().worstClass() * offered / stats.offered : 0;
-        return settings.goal().whole() * stats.spec.worth() + lift;
-    }
-
     private void place(double nowMs, Call call) {
-        if (call.usefulUntilMs - nowMs <= Math.max(call.stats.typicalMs / 2, call.costMs)
-                || call.attempts.isEmpty() && sparse() && random.nextDouble() > THROTTLE * inTime.value()) {
-            giveUp(call); // it hardly earns: too late, too much work by its hint, or most attempts come late
+        if (AdmissionControl.isTooLate(nowMs, call)
+                || call.attempts.isEmpty() && sparse() && admission.throttles(random.nextDouble())) {
+            giveUp(call);
         } else if (!waiting.isEmpty() || !dispatch(nowMs, call)) {
             waiting.add(call);
             shedWaiting(nowMs);
@@ -145,7 +129,11 @@
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
     private UpstreamState pick(double nowMs, Call call) {
-        boolean avoid = 2 * countExcluded(nowMs, call) <= members.size();
+        int faulty = 0;
+        for (UpstreamState upstream : members) {
+            faulty += ejection.excludes(nowMs, upstream, call.stats) ? 1 : 0;
+        }
+        boolean avoid = 2 * faulty <= members.size();
         UpstreamState drawn = null; // each replaces the one before with its part of the sum so far
         double sum = 0;
         for (UpstreamState upstream : members) {
@@ -160,14 +148,6 @@
         return drawn;
     }
 
-    private int countExcluded(double nowMs, Call call) {
-        int excluded = 0;
-        for (UpstreamState upstream : members) {
-            excluded += ejection.excludes(nowMs, upstream, call.stats) ? 1 : 0;
-        }
-        return excluded;
-    }
-
     private boolean fit(double nowMs, Call call, UpstreamState upstream) {
         return retries.allowsAt(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
                 && !crowded(nowMs, call, upstream);
@@ -250,23 +230,13 @@
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         // Slow with single attempts: after a while that is taken for the servers' latency, not for a queue.
-        boolean starved = shed > 0 && members.stream().allMatch(upstream -> upstream.limit.isSingle());
+        boolean starved = shedder.hasShed() && members.stream().allMatch(member -> member.limit.isSingle());
         double forget = starved ? FORGET_STARVED : FORGET;
         classes.forEach(stats -> stats.tick(forget));
         members.forEach(upstream -> upstream.tick(FORGET));
         slowStart.tick();
-        inTime.fade(KEEP);
-        if (shed > 0 != shedding) {
-            shedding = shed > 0;
-            actions.log(shedding ? "all members full: refusing requests" : "nothing refused any more");
-        }
-        shed = 0;
-        if (yielded > 0 != yielding) {
-            yielding = yielded > 0;
-            actions.log(yielding ? "clients run out of connections: refusing what is worth least for its time"
-                    : "clients have connections left again");
-        }
-        yielded = 0;
+        shedder.tick(actions);
+        admission.tick(actions);
     }
 
     // ---- Outcomes: what was learnt, and whether the request gets another attempt.
@@ -318,7 +288,7 @@
                 ejection.failed(nowMs, upstream, stats);
             }
         }
-        inTime.count(how == Outcome.OK && latencyMs <= stats.spec.aimMs());
+        admission.attemptEnded(how == Outcome.OK && latencyMs <= stats.spec.aimMs());
         upstream.latencySum += latencyMs / stats.typicalMs;
         upstream.samples++;
         if (how != Outcome.RESET) {
@@ -441,59 +411,19 @@
         }
     }
 
-    // ---- Waiting and shedding. Guards against overload and retry storms. Acts when all members are full:
-    // the worthiest go first, the newest of them before older ones; what could no longer earn is refused.
-
     private void serveWaiting(double nowMs) {
         while (!waiting.isEmpty() && dispatch(nowMs, waiting.first())) {
             waiting.pollFirst();
         }
     }
 
-    /** The client holds a connection for what waits; but where all is slow the worthiest come first. */
-    private static double lastCallMs(ClassStats stats) {
-        double mostMs = LONGEST_CALL * stats.spec.aimMs();
-        return Math.max(stats.typicalMs, Math.min(LAST_CALL * stats.typicalMs, mostMs));
-    }
-
     private void shedWaiting(double nowMs) {
-        List<Call> late = waiting.stream().filter(call -> call.usefulUntilMs - nowMs
-                <= Math.max(controlMs, lastCallMs(call.stats))).toList();
-        shed += late.size();
-        late.forEach(waiting::remove);
-        late.forEach(this::giveUp);
+        shedder.shed(nowMs, controlMs).forEach(this::giveUp);
     }
 
-    // ---- Clients' connections. Each request holds one until it is answered, and clients have only so many:
-    // what comes when all are taken gets no further than its client, whatever its worth. Acts when few are
-    // left: the less worth for the time that it holds one, the more must be left for others. Covers any rate
-    // that is too much for the connections, by many requests or by slow upstreams. Hurts where clients can
-    // open more than the node knows of: then requests are refused for which there is room.
-
     @Override
     public void clientRoom(int requests) {
-        clientRoom = requests;
-    }
-
-    /** Whether a new request must leave its connection to worthier ones; what waits may go in its place. */
-    private boolean mustYield(Call call) {
-        double kept = KEPT_ROOM * Math.sqrt(clientRoom); // what comes at once by chance grows so
-        double left = clientRoom - calls.size();
-        if (clientRoom == 0 || left >= kept) {
-            return false;
-        }
-        Call least = waiting.stream().min(Comparator.comparingDouble(Call::worthPerMs)).orElse(call);
-        if (least.worthPerMs() < call.worthPerMs()) {
-            waiting.remove(least);
-            giveUp(least);
-            yielded++;
-            return false;
-        }
-        double best = classes.stream().filter(stats -> stats.offered > 0)
-                .mapToDouble(stats -> worth(stats) / stats.typicalMs).max().orElse(0);
-        boolean yields = left < kept * (1 - call.worthPerMs() / best);
-        yielded += yields ? 1 : 0;
-        return yields;
+        admission.connections = requests;
     }
 
     // ---- Upstreams that are silent or fail (OutlierEjection): what is stuck there may get a second copy.
--- a/src/main/java/umberkeel/OutlierEjection.java
+++ b/src/main/java/umberkeel/OutlierEjection.java
@@ -73,7 +73,6 @@
         }
     }
 
-    /** Ejects an upstream as a whole, unless it is ejected already. */
     void eject(double nowMs, UpstreamState upstream, String reason) {
         if (!upstream.probation.ejected) {
             actions.log(upstream + " is set aside, " + reason + "; trying it now and then");
--- a/src/main/java/umberkeel/Probation.java
+++ b/src/main/java/umberkeel/Probation.java
@@ -11,14 +11,12 @@
     private double nextTrialMs;
     private double gapMs;
 
-    /** Begins with an ejection. */
     void begin(double nowMs) {
         ejected = true;
         gapMs = FIRST_GAP_MS;
         tried(nowMs);
     }
 
-    /** A trial is made now. */
     void tried(double nowMs) {
         gapMs = Math.min(2 * gapMs, LONGEST_GAP_MS);
         nextTrialMs = nowMs + gapMs;
--- a/src/main/java/umberkeel/TokenBucket.java
+++ b/src/main/java/umberkeel/TokenBucket.java
@@ -6,7 +6,6 @@
     private double tokens;
     private double filledMs;
 
-    /** Begins with this many tokens. */
     void start(double nowMs, double some) {
         tokens = some;
         filledMs = nowMs;
--- a/src/main/java/umberkeel/UpstreamList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -6,10 +6,6 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
-
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class UpstreamList {
 
@@ -18,11 +14,11 @@
     private final Map<Integer, UpstreamState> byId = new HashMap<>();
 
     /** Takes over what discovery says; an upstream that has restarted begins anew. */
-    void apply(ListKind kind, List<Upstream> entries) {
-        if (kind != ListKind.DELTA) {
+    void apply(Balancer.ListKind kind, List<Balancer.Upstream> entries) {
+        if (kind != Balancer.ListKind.DELTA) {
             upstreams.forEach(UpstreamList::markGone);
         }
-        for (Upstream entry : entries) {
+        for (Balancer.Upstream entry : entries) {
             UpstreamState known = byId.get(entry.id());
             if (known != null && entry.startedMs() > 0 && known.listed.startedMs() != entry.startedMs()) {
                 markGone(known);
@@ -36,16 +32,14 @@
             known.listed = entry;
         }
         members.removeIf(upstream -> !upstream.ready());
-        upstreams.removeIf(upstream -> upstream.listed.status() == Status.GONE);
-        byId.values().removeIf(upstream -> upstream.listed.status() == Status.GONE);
+        upstreams.removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
+        byId.values().removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
     }
 
-    /** The upstream of this id, or null where none is listed. */
     UpstreamState find(int id) {
         return byId.get(id);
     }
 
-    /** The ready upstreams that are not members. */
     List<UpstreamState> candidates() {
         return upstreams.stream().filter(upstream -> upstream.ready() && !members.contains(upstream))
                 .collect(Collectors.toCollection(ArrayList::new));
@@ -69,8 +63,8 @@
     }
 
     private static void markGone(UpstreamState upstream) {
-        Upstream old = upstream.listed;
-        upstream.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(),
-                old.cell(), old.weight());
+        Balancer.Upstream old = upstream.listed;
+        upstream.listed = new Balancer.Upstream(old.id(), Balancer.Status.GONE, old.startedMs(), old.zone(),
+                old.kind(), old.cell(), old.weight());
     }
 }
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -51,7 +51,6 @@
         quietRatio = Math.max(1, ClassStats.floor(quietRatio, smoothRatio, forget));
     }
 
-    /** Notes a report. */
     void report(double nowMs, double requestLoad) {
         load = requestLoad;
         reportMs = nowMs;
--- /dev/null
+++ b/src/test/java/umberkeel/LoadShedderTest.java
@@ -0,0 +1,90 @@
+package umberkeel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import umberkeel.Balancer.Effect;
+import umberkeel.Balancer.Group;
+
+class LoadShedderTest {
+
+    private static final double CONTROL_MS = 60;
+
+    private final LoadShedder shedder = new LoadShedder();
+    private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
+            Samples.TICK_MS);
+    private final List<String> logs = new ArrayList<>();
+    private final IdleActions actions = new IdleActions() {
+        @Override
+        public void log(String line) {
+            logs.add(line);
+        }
+    };
+
+    private Call waits(int order, double value, double usefulUntilMs) {
+        Call call = new Call(new Balancer.Request(order, 0, 0, 4000, false, 0), stats, value, order, usefulUntilMs,
+                usefulUntilMs);
+        shedder.waiting.add(call);
+        return call;
+    }
+
+    @Test
+    void theWorthiestGoFirstAndOfThemTheNewest() {
+        Call old = waits(1, 5, 1000);
+        Call poor = waits(2, 1, 1000);
+        Call recent = waits(3, 5, 1000);
+        assertEquals(List.of(recent, old, poor), List.copyOf(shedder.waiting));
+    }
+
+    @Test
+    void whatHasTwoAndAHalfTypicalLatenciesLeftIsShed() {
+        stats.typicalMs = 100;
+        Call soon = waits(1, 1, 1000);
+        Call later = waits(2, 1, 1001);
+        assertEquals(List.of(), shedder.shed(749, CONTROL_MS));
+        assertFalse(shedder.hasShed());
+        assertEquals(List.of(soon), shedder.shed(750, CONTROL_MS));
+        assertTrue(shedder.hasShed());
+        assertEquals(List.of(later), List.copyOf(shedder.waiting));
+    }
+
+    @Test
+    void whereAllIsSlowWaitingEndsLater() {
+        stats.typicalMs = 500; // 2.5 of them would be more than the aim: 0.65 of the aim of 1,000 ms it is
+        Call call = waits(1, 1, 1000);
+        assertEquals(List.of(), shedder.shed(349, CONTROL_MS));
+        assertEquals(List.of(call), shedder.shed(350, CONTROL_MS));
+        stats.typicalMs = 800; // but never less than one typical latency
+        waits(2, 1, 1000);
+        assertEquals(List.of(), shedder.shed(199, CONTROL_MS));
+        assertEquals(1, shedder.shed(200, CONTROL_MS).size());
+    }
+
+    @Test
+    void whereAllIsQuickItWaitsForTheLastControlTick() {
+        stats.typicalMs = 1;
+        waits(1, 1, 1000);
+        assertEquals(List.of(), shedder.shed(939, CONTROL_MS));
+        assertEquals(1, shedder.shed(940, CONTROL_MS).size());
+    }
+
+    @Test
+    void theBeginningAndTheEndOfSheddingAreTold() {
+        shedder.tick(actions);
+        waits(1, 1, 1000);
+        shedder.shed(1000, CONTROL_MS);
+        shedder.tick(actions);
+        assertFalse(shedder.hasShed());
+        waits(2, 1, 1000);
+        shedder.shed(1000, CONTROL_MS);
+        shedder.tick(actions);
+        shedder.tick(actions);
+        assertEquals(List.of("all members full: refusing requests", "nothing refused any more"), logs);
+    }
+}
