Give the shares a class and tests of its own, and the subset to UpstreamList

LoadShares moves the members' shares by the samples of a tick. UpstreamList, which held the members already, fills the subset. Whether a request would be late by a report is Call's to tell, how fast a quiet latency is forgotten ClassStats'; the share of an upstream that returns is raised where it returns.

--- a/src/main/java/umberkeel/ClassStats.java
+++ b/src/main/java/umberkeel/ClassStats.java
@@ -8,6 +8,8 @@
     private static final double MEDIAN_STEP = 0.02; // what one answer moves a running median
     private static final double TAIL_STEP = 0.25; // what one answer moves the running tail of latencies
     private static final double TAIL_PART = 0.03; // of the answers, that are slower than the tail
+    static final double FORGET = 0.005; // of the quiet latency in a tick: machines change
+    private static final double FORGET_STARVED = 0.05; // the same, where even single attempts are slow
     private static final double KEPT = 0.98; // of what was offered and served, from tick to tick
 
     final Balancer.RequestClass spec;
@@ -40,10 +42,11 @@
         typicalMs *= 1 + step * Math.signum(latencyMs - typicalMs);
     }
 
-    void tick(double forget) {
+    void tick(boolean starved) {
         offered *= KEPT;
         served *= KEPT;
-        quietMs = answers < SMOOTHING ? 0 : floor(quietMs(), typicalMs, forget);
+        quietMs = answers < SMOOTHING ? 0
+                : floor(quietMs(), typicalMs, starved ? FORGET_STARVED : FORGET);
     }
 
     /** The typical latency, until enough answers are known to tell what is quiet. */
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -10,26 +10,13 @@
 
 /**
  * The decision module: load shifting by latency-equalising shares. Its interface (events, actions) is
- * {@code Balancer.java}. The ordinary path comes first ({@link #request}, {@link #pick},
- * {@link #shiftShares}), then each departure with what it guards against and when it acts.
+ * {@code Balancer.java}. The ordinary path comes first, from {@link #request} to the draw in {@link #pick};
+ * {@link #shareTick} moves the shares. Each departure has a class that tells what it guards against.
  */
 public final class LoadShiftingBalancer implements Balancer {
 
-    private static final double STEP = 0.2; // of a share, for a deviation of one mean in a tick: the paper's
     static final double TICK_MS = 1000; // many answers fall into it, and moved load shows within it
-    private static final double MOST_DEVIATION = 2; // in means: a factor is never under 1 - 0.2 x 2
-    private static final double KEEP = 0.85; // of a tick's samples for the next, where they were few
-    private static final double ENOUGH = 8; // samples in a tick that need none from before
-    private static final double HALF_TRUST = 4; // samples at which the mean of a tick counts half
-    private static final double LEAST_SHARE = 0.1; // of the mean share, so that each member is still seen
-    private static final int SUBSET = 10; // members: the design's "about ten"
-    private static final int COVER = 8; // sidecars that hold a server, at least: fewer cover unevenly
-    private static final double FORGET = 0.005; // of the quiet latency in a tick: machines change
-    private static final double FORGET_STARVED = 0.05; // the same, where even single attempts are slow
     private static final double BARELY = 2; // typical latencies: a shorter time-out is no failure
-    private static final double FIRST_OUT = 8; // attempts of all sidecars at a server not known yet
-    private static final int MOST_ASKS = 6; // servers asked for their load for one request
-    private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
     private static final double REPEAT_WORTH = 0.1; // of a first try: the aim has run since that
 
     private static final double TICKS_IN_AIM = 16; // control ticks within the shortest aim
@@ -46,8 +33,8 @@
     private final TreeSet<Call> waiting = shedder.waiting;
     private final double controlMs;
     private final List<ClassStats> classes = new ArrayList<>();
-    private final UpstreamList list = new UpstreamList();
-    private final List<UpstreamState> members = list.members;
+    private final UpstreamList list;
+    private final List<UpstreamState> members;
     private final Map<Integer, Call> calls = new HashMap<>();
     private long received;
     private final boolean asks;
@@ -61,6 +48,8 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.list = new UpstreamList(settings.sidecars(), random);
+        this.members = list.members;
         this.ejection = new OutlierEjection(actions);
         this.slowStart = new SlowStart(settings.contract());
         this.retries = new RetryPolicy(settings.limits().maxAttempts());
@@ -77,8 +66,6 @@
         }
     }
 
-    // ---- The ordinary path: each request goes to a member of the subset, drawn in proportion to the shares.
-
     @Override
     public void request(double nowMs, Request request) {
         ClassStats stats = classes.get(request.requestClass());
@@ -116,7 +103,7 @@
 
     private boolean dispatch(double nowMs, Call call) {
         UpstreamState upstream = pick(nowMs, call);
-        if (asks && upstream != null && call.asks < MOST_ASKS
+        if (asks && upstream != null && call.mayAsk()
                 && nowMs - upstream.reportMs > settings.tickMs()) {
             call.ask(upstream, nowMs);
             asking.add(call);
@@ -149,8 +136,12 @@
     }
 
     private boolean fit(double nowMs, Call call, UpstreamState upstream) {
-        return retries.allowsAt(nowMs, call, upstream) && hasRoom(nowMs, call, upstream)
-                && !crowded(nowMs, call, upstream);
+        double warmth = slowStart.warmth(nowMs, upstream.listed);
+        return retries.allowsAt(nowMs, call, upstream)
+                && upstream.limit.admits(nowMs, upstream.inFlight, warmth)
+                && (warmth >= 1 || call.attempts.isEmpty()
+                && slowStart.admits(nowMs, upstream.slowStartBudget, warmth, list.weightPart(upstream)))
+                && !call.wouldBeLateAt(nowMs, upstream);
     }
 
     private void send(double nowMs, Call call, UpstreamState upstream) {
@@ -161,86 +152,18 @@
         actions.send(call.id, upstream.id, call.usefulUntilMs - nowMs);
     }
 
-    /**
-     * The design's step: D <- D (1 + eta F l), then renormalised. Where a tick has few samples of a server,
-     * older ones last on, counting ever less; l_mean and each step go by how far samples can be trusted.
-     */
-    private void shiftShares(double nowMs) {
-        double sum = 0;
-        double trusts = 0;
-        for (UpstreamState upstream : members) {
-            upstream.tickLatency = upstream.latencySum;
-            double samples = upstream.samples;
-            for (Attempt attempt : upstream.attempts) {
-                // A hung server answers nothing: what is out for longer than usual counts by its age.
-                double ratio = (nowMs - attempt.sentMs) / attempt.call.stats.typicalMs;
-                if (ratio > 1) {
-                    upstream.tickLatency += ratio;
-                    samples++;
-                }
-            }
-            upstream.tickLatency /= Math.max(samples, Double.MIN_NORMAL);
-            upstream.trust = samples / (samples + HALF_TRUST);
-            sum += upstream.trust * upstream.tickLatency;
-            trusts += upstream.trust;
-        }
-        for (UpstreamState upstream : members) {
-            if (upstream.trust > 0) {
-                double deviation = Math.min(MOST_DEVIATION, upstream.tickLatency * trusts / sum - 1);
-                double moved = upstream.share * (1 - STEP * upstream.trust * deviation);
-                upstream.share = Math.max(moved, LEAST_SHARE / members.size());
-            }
-            double kept = KEEP * Math.max(0, 1 - upstream.samples / ENOUGH);
-            upstream.latencySum *= kept;
-            upstream.samples *= kept;
-        }
-        list.normalise();
-    }
-
-    /** A member that drains or is gone gives way to a random ready server, at the mean share. */
-    private void fillSubset(double nowMs) {
-        List<UpstreamState> candidates = list.candidates();
-        list.normalise();
-        double weights = members.stream().mapToDouble(upstream -> upstream.listed.weight()).sum();
-        while (!candidates.isEmpty()) {
-            UpstreamState upstream = candidates.remove(random.nextInt(candidates.size()));
-            boolean full = members.size() >= subsetSize();
-            // A new server takes a member's place as often as an even cover of the fleet asks for.
-            if (full && !upstream.weighed && random.nextInt(list.upstreams.size()) < members.size()) {
-                members.remove(random.nextInt(members.size()));
-                full = false;
-            }
-            if (!full) {
-                upstream.limit.start(partOf(FIRST_OUT));
-                upstream.share = (upstream.listed.weight() + Double.MIN_NORMAL) / (weights > 0 ? weights : 1);
-                // Not one at once from each of many sidecars.
-                upstream.slowStartBudget.start(nowMs, random.nextDouble());
-                members.add(upstream);
-            }
-            upstream.weighed = true;
-        }
-        list.normalise();
-    }
-
-    private double subsetSize() {
-        return Math.max(SUBSET, (double) COVER * list.upstreams.size() / settings.sidecars());
-    }
-
     private void shareTick(double nowMs) {
         nextShareTickMs = nowMs + TICK_MS;
-        shiftShares(nowMs);
+        LoadShares.shift(nowMs, members);
         // Slow with single attempts: after a while that is taken for the servers' latency, not for a queue.
         boolean starved = shedder.hasShed() && members.stream().allMatch(member -> member.limit.isSingle());
-        double forget = starved ? FORGET_STARVED : FORGET;
-        classes.forEach(stats -> stats.tick(forget));
-        members.forEach(upstream -> upstream.tick(FORGET));
+        classes.forEach(stats -> stats.tick(starved));
+        members.forEach(UpstreamState::tick);
         slowStart.tick();
         shedder.tick(actions);
         admission.tick(actions);
     }
 
-    // ---- Outcomes: what was learnt, and whether the request gets another attempt.
-
     @Override
     public void attemptEnded(double nowMs, AttemptEnd end) {
         Call call = calls.get(end.request());
@@ -269,7 +192,7 @@
         UpstreamState upstream = attempt.upstream;
         ClassStats stats = attempt.call.stats;
         if (how == Outcome.OK) {
-            answered(nowMs, upstream);
+            ejection.answered(nowMs, upstream, members.size());
             ejection.served(upstream, stats);
             attempt.call.served = true;
             stats.answered(latencyMs);
@@ -294,7 +217,7 @@
         if (how != Outcome.RESET) {
             // A broken connection says nothing of a queue: the share and the streak of failures answer to it.
             guess(nowMs, upstream, latencyMs / stats.quietMs());
-            double minimum = Math.min(1, partOf(FIRST_OUT) / 2);
+            double minimum = Math.min(1, list.firstInFlight() / 2);
             upstream.limit.adjust(nowMs, upstream.inFlight, upstream.headroom(stats, latencyMs), minimum,
                     stats.typicalMs);
         }
@@ -351,37 +274,15 @@
         }
     }
 
-    private boolean hasRoom(double nowMs, Call call, UpstreamState upstream) {
-        double warmth = slowStart.warmth(nowMs, upstream.listed);
-        return upstream.limit.admits(nowMs, upstream.inFlight, warmth)
-                && (warmth >= 1 || call.attempts.isEmpty()
-                && slowStart.admits(nowMs, upstream.slowStartBudget, warmth, list.weightPart(upstream)));
-    }
-
     private boolean sparse() {
-        return !asks && partOf(FIRST_OUT) < 1;
-    }
-
-    /** This sidecar's part of what all sidecars may have out at one server, as if they were alike. */
-    private double partOf(double outTogether) {
-        double fleet = list.upstreams.size();
-        return outTogether * fleet / (settings.sidecars() * Math.min(subsetSize(), fleet));
-    }
-
-    // ---- Load reports. Guards against queues that a sidecar with few requests can't see. Acts where servers
-    // report load: one where the request would miss its aim is out of the draw until it may have drained.
-    // Where reports come by probe alone, the server drawn is asked first; if it is crowded, the draw goes on.
-
-    private boolean crowded(double nowMs, Call call, UpstreamState upstream) {
-        double latencyMs = upstream.load * call.stats.quietMs() - (nowMs - upstream.reportMs);
-        return latencyMs > (2 * call.asks > MOST_ASKS ? 1 : WAIT_PART) * (call.aimUntilMs - nowMs);
+        return !asks && list.firstInFlight() < 1;
     }
 
     @Override
     public void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {
         UpstreamState probed = list.find(upstream);
         if (probed != null && outcome == Outcome.OK) {
-            answered(nowMs, probed);
+            ejection.answered(nowMs, probed, members.size());
             probed.report(nowMs, 1 + settings.requestsIn(report));
         } else if (probed != null) {
             probed.report(nowMs, Double.MAX_VALUE); // until it has answered another probe
@@ -426,14 +327,6 @@
         admission.connections = requests;
     }
 
-    // ---- Upstreams that are silent or fail (OutlierEjection): what is stuck there may get a second copy.
-
-    private void answered(double nowMs, UpstreamState upstream) {
-        if (ejection.answered(nowMs, upstream)) { // else a cut share hardly climbs back
-            upstream.share = Math.max(upstream.share, 1.0 / members.size());
-        }
-    }
-
     private void watchSilence(double nowMs) {
         for (UpstreamState upstream : members) {
             if (asks && upstream.probation.ejected && !upstream.probation.excludes(nowMs)) {
@@ -465,8 +358,6 @@
         }
     }
 
-    // ---- Timers and the list of upstreams.
-
     private void armControl() {
         if (!controlArmed && !calls.isEmpty()) {
             controlArmed = true;
@@ -494,18 +385,15 @@
 
     @Override
     public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {
-        if (kind == ListKind.FAILED) {
-            if (!subscribeArmed) {
-                subscribeArmed = true; // ever later, at random times: many sidecars ask one service
-                double longestMs = Math.min(ListTimes.PAUSE_MS, TICK_MS / 4 * (1 << listFailures));
-                listFailures = Math.min(5, listFailures + 1);
-                actions.timer(longestMs * (1 + random.nextDouble()) / 2, SUBSCRIBE_TIMER);
-            }
-            return;
+        if (kind != ListKind.FAILED) {
+            listFailures = 0;
+            list.apply(nowMs, kind, entries);
+            serveWaiting(nowMs);
+        } else if (!subscribeArmed) {
+            subscribeArmed = true; // ever later, at random times: many sidecars ask one service
+            double longestMs = Math.min(ListTimes.PAUSE_MS, TICK_MS / 4 * (1 << listFailures));
+            listFailures = Math.min(5, listFailures + 1);
+            actions.timer(longestMs * (1 + random.nextDouble()) / 2, SUBSCRIBE_TIMER);
         }
-        listFailures = 0;
-        list.apply(kind, entries);
-        fillSubset(nowMs);
-        serveWaiting(nowMs);
     }
 }
--- a/src/main/java/umberkeel/OutlierEjection.java
+++ b/src/main/java/umberkeel/OutlierEjection.java
@@ -51,16 +51,15 @@
         }
     }
 
-    /** Notes an answer to a request or a probe, and tells whether it ends an ejection. */
-    boolean answered(double nowMs, UpstreamState upstream) {
+    /** Notes an answer to a request or a probe: it ends an ejection. */
+    void answered(double nowMs, UpstreamState upstream, int members) {
         upstream.heardMs = nowMs;
         upstream.probation.failures = 0;
-        boolean returns = upstream.probation.ejected;
-        if (returns) {
+        if (upstream.probation.ejected) {
             upstream.probation.ejected = false;
             actions.log(upstream + " answers again and is back in the draw");
+            upstream.share = Math.max(upstream.share, 1.0 / members); // else a cut share hardly climbs back
         }
-        return returns;
     }
 
     /** Ejects an upstream that is silent for too long; {@code oldest} is its oldest attempt in flight. */
--- a/src/main/java/umberkeel/UpstreamList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -4,17 +4,28 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
+import java.util.SplittableRandom;
 
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class UpstreamList {
 
-    final List<UpstreamState> upstreams = new ArrayList<>();
+    private static final int SUBSET = 10; // members: the design's "about ten"
+    private static final int COVER = 8; // sidecars that hold an upstream, at least: fewer cover unevenly
+    private static final double FIRST_IN_FLIGHT = 8; // attempts of all sidecars at an upstream not known yet
+
+    private final int sidecars;
+    private final SplittableRandom random;
+    private final List<UpstreamState> upstreams = new ArrayList<>();
     final List<UpstreamState> members = new ArrayList<>();
     private final Map<Integer, UpstreamState> byId = new HashMap<>();
 
+    UpstreamList(int sidecars, SplittableRandom random) {
+        this.sidecars = sidecars;
+        this.random = random;
+    }
+
     /** Takes over what discovery says; an upstream that has restarted begins anew. */
-    void apply(Balancer.ListKind kind, List<Balancer.Upstream> entries) {
+    void apply(double nowMs, Balancer.ListKind kind, List<Balancer.Upstream> entries) {
         if (kind != Balancer.ListKind.DELTA) {
             upstreams.forEach(UpstreamList::markGone);
         }
@@ -34,15 +45,47 @@
         members.removeIf(upstream -> !upstream.ready());
         upstreams.removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
         byId.values().removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
+        fillSubset(nowMs);
     }
 
     UpstreamState find(int id) {
         return byId.get(id);
     }
 
-    List<UpstreamState> candidates() {
-        return upstreams.stream().filter(upstream -> upstream.ready() && !members.contains(upstream))
-                .collect(Collectors.toCollection(ArrayList::new));
+    /** A member that drains or is gone gives way to a random ready upstream, at the mean share. */
+    private void fillSubset(double nowMs) {
+        List<UpstreamState> candidates = new ArrayList<>(upstreams);
+        candidates.removeIf(upstream -> !upstream.ready() || members.contains(upstream));
+        LoadShares.normalise(members);
+        double weights = members.stream().mapToDouble(upstream -> upstream.listed.weight()).sum();
+        while (!candidates.isEmpty()) {
+            UpstreamState upstream = candidates.remove(random.nextInt(candidates.size()));
+            boolean full = members.size() >= subsetSize();
+            // A new upstream takes a member's place as often as an even cover of the fleet asks for.
+            if (full && !upstream.weighed && random.nextInt(upstreams.size()) < members.size()) {
+                members.remove(random.nextInt(members.size()));
+                full = false;
+            }
+            if (!full) {
+                upstream.limit.start(firstInFlight());
+                upstream.share = (upstream.listed.weight() + Double.MIN_NORMAL) / (weights > 0 ? weights : 1);
+                // Not one at once from each of many sidecars.
+                upstream.slowStartBudget.start(nowMs, random.nextDouble());
+                members.add(upstream);
+            }
+            upstream.weighed = true;
+        }
+        LoadShares.normalise(members);
+    }
+
+    private double subsetSize() {
+        return Math.max(SUBSET, (double) COVER * upstreams.size() / sidecars);
+    }
+
+    /** This sidecar's part of the attempts that an upstream not known yet may have, as if all were alike. */
+    double firstInFlight() {
+        double fleet = upstreams.size();
+        return FIRST_IN_FLIGHT * fleet / (sidecars * Math.min(subsetSize(), fleet));
     }
 
     /** The part of the members' weight that an upstream has. */
@@ -51,17 +94,6 @@
         return weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
     }
 
-    /** Scales the members' shares to a sum of 1. */
-    void normalise() {
-        double total = 0;
-        for (UpstreamState upstream : members) {
-            total += upstream.share;
-        }
-        for (UpstreamState upstream : members) {
-            upstream.share /= total;
-        }
-    }
-
     private static void markGone(UpstreamState upstream) {
         Balancer.Upstream old = upstream.listed;
         upstream.listed = new Balancer.Upstream(old.id(), Balancer.Status.GONE, old.startedMs(), old.zone(),
--- a/src/main/java/umberkeel/UpstreamState.java
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -47,8 +47,8 @@
         smoothRatio += (latencyRatio - smoothRatio) / ClassStats.SMOOTHING;
     }
 
-    void tick(double forget) {
-        quietRatio = Math.max(1, ClassStats.floor(quietRatio, smoothRatio, forget));
+    void tick() {
+        quietRatio = Math.max(1, ClassStats.floor(quietRatio, smoothRatio, ClassStats.FORGET));
     }
 
     void report(double nowMs, double requestLoad) {
--- a/src/test/java/umberkeel/ClassStatsTest.java
+++ b/src/test/java/umberkeel/ClassStatsTest.java
@@ -14,6 +14,7 @@
 
     private static final double DEADLINE_MS = 4000; // by Samples, as is an aim of 1000
     private static final double FORGET = 0.005;
+    private static final double FORGET_STARVED = 0.05;
 
     private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
             Samples.TICK_MS);
@@ -56,23 +57,25 @@
     @Test
     void theQuietLatencyIsKnownAfterEnoughAnswersAndForgetsSlowly() {
         answers(31, 40);
-        stats.tick(FORGET);
+        stats.tick(false);
         assertEquals(0, stats.quietMs);
         answers(200, 40);
-        stats.tick(FORGET);
+        stats.tick(false);
         double quietMs = stats.quietMs;
         assertEquals(40, quietMs, 1);
         answers(500, 400);
-        stats.tick(FORGET);
+        stats.tick(false);
         assertEquals(quietMs * (1 + FORGET), stats.quietMs, 1e-9);
         assertTrue(stats.typicalMs > 300);
+        stats.tick(true);
+        assertEquals(quietMs * (1 + FORGET) * (1 + FORGET_STARVED), stats.quietMs, 1e-9);
     }
 
     @Test
     void whatWasOfferedAndServedFades() {
         stats.offered = 100;
         stats.served = 50;
-        stats.tick(FORGET);
+        stats.tick(false);
         assertEquals(98, stats.offered, 1e-9);
         assertEquals(49, stats.served, 1e-9);
     }
--- a/src/test/java/umberkeel/OutlierEjectionTest.java
+++ b/src/test/java/umberkeel/OutlierEjectionTest.java
@@ -59,7 +59,7 @@
     @Test
     void anAnswerEndsARowOfFailures() {
         fails(0, reads, 2);
-        assertFalse(ejection.answered(0, upstream));
+        ejection.answered(0, upstream, 4);
         ejection.served(upstream, reads);
         fails(0, reads, 2);
         assertFalse(ejection.excludes(0, upstream, reads));
@@ -70,7 +70,7 @@
     void failuresOfOneClassEjectForThatClassAlone() {
         for (int i = 0; i < 3; i++) {
             fails(0, reads, 1);
-            ejection.answered(0, upstream);
+            ejection.answered(0, upstream, 4);
             ejection.served(upstream, writes);
         }
         assertTrue(ejection.excludes(0, upstream, reads));
@@ -97,8 +97,12 @@
     void anAnswerEndsAnEjection() {
         ejection.eject(0, upstream, "for the test");
         ejection.eject(1, upstream, "a second time, which is not told");
-        assertTrue(ejection.answered(2, upstream));
-        assertFalse(ejection.answered(3, upstream));
+        upstream.share = 0.01;
+        ejection.answered(2, upstream, 4);
+        assertEquals(0.25, upstream.share); // the mean of four
+        upstream.share = 0.01;
+        ejection.answered(3, upstream, 4);
+        assertEquals(0.01, upstream.share); // it was not ejected any more
         assertFalse(ejection.excludes(3, upstream, reads));
         assertEquals(List.of("upstream 3 is set aside, for the test; trying it now and then",
                 "upstream 3 answers again and is back in the draw"), logs);
@@ -129,7 +133,7 @@
     @Test
     void anotherAnswerInTheMeantimeIsNoSilence() {
         Attempt oldest = sent(1000);
-        ejection.answered(1500, upstream);
+        ejection.answered(1500, upstream, 4);
         ejection.checkSilence(1500 + 8 * TYPICAL_MS, upstream, oldest);
         assertFalse(upstream.probation.ejected);
     }
--- /dev/null
+++ b/src/test/java/umberkeel/UpstreamListTest.java
@@ -0,0 +1,122 @@
+package umberkeel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import umberkeel.Balancer.ListKind;
+import umberkeel.Balancer.Status;
+import umberkeel.Balancer.Upstream;
+
+class UpstreamListTest {
+
+    private static final double EXACT = 1e-9;
+
+    private static UpstreamList list(int sidecars, int upstreams) {
+        UpstreamList list = new UpstreamList(sidecars, new SplittableRandom(3));
+        List<Upstream> entries = new ArrayList<>();
+        for (int id = 1; id <= upstreams; id++) {
+            entries.add(Sidecar.upstream(id, Status.READY, 0));
+        }
+        list.apply(0, ListKind.FULL, entries);
+        return list;
+    }
+
+    private static void change(UpstreamList list, int id, Status status, double startedMs) {
+        list.apply(0, ListKind.DELTA, List.of(Sidecar.upstream(id, status, startedMs)));
+    }
+
+    private static double sumOfShares(UpstreamList list) {
+        return list.members.stream().mapToDouble(member -> member.share).sum();
+    }
+
+    @Test
+    void ofFewUpstreamsAllAreMembersWithEqualShares() {
+        UpstreamList list = list(100, 4);
+        assertEquals(4, list.members.size());
+        for (UpstreamState member : list.members) {
+            assertEquals(0.25, member.share, EXACT);
+        }
+    }
+
+    @Test
+    void ofManyAboutTenAreMembersOrMoreWhereSidecarsAreFew() {
+        assertEquals(10, list(1000, 100).members.size());
+        assertEquals(16, list(50, 100).members.size()); // so that eight sidecars hold each upstream
+    }
+
+    @Test
+    void aMemberThatDrainsGivesWayAtTheMeanShare() {
+        UpstreamList list = list(1000, 11);
+        UpstreamState drained = list.members.get(0);
+        change(list, drained.id, Status.DRAINING, 0);
+        assertEquals(10, list.members.size());
+        assertFalse(list.members.contains(drained));
+        assertEquals(0.1, list.members.get(9).share, EXACT);
+        assertEquals(1, sumOfShares(list), EXACT);
+    }
+
+    @Test
+    void whatAFullListLeavesOutIsGone() {
+        UpstreamList list = list(1, 3);
+        list.apply(0, ListKind.FULL, List.of(Sidecar.upstream(2, Status.READY, 0)));
+        assertEquals(1, list.members.size());
+        assertNull(list.find(1));
+        assertSame(list.members.get(0), list.find(2));
+        assertEquals(1, sumOfShares(list), EXACT);
+    }
+
+    @Test
+    void anUpstreamThatHasRestartedBeginsAnew() {
+        UpstreamList list = list(1, 3);
+        UpstreamState before = list.find(2);
+        change(list, 2, Status.READY, 500);
+        assertNotSame(before, list.find(2));
+        assertFalse(list.members.contains(before));
+        assertTrue(list.members.contains(list.find(2)));
+        UpstreamState after = list.find(2);
+        change(list, 2, Status.READY, 500);
+        assertSame(after, list.find(2));
+    }
+
+    @Test
+    void aNewUpstreamTakesAMembersPlaceAsOftenAsAnEvenCoverAsksFor() {
+        int taken = 0;
+        for (int seed = 0; seed < 2000; seed++) {
+            UpstreamList list = new UpstreamList(1000, new SplittableRandom(seed));
+            list.apply(0, ListKind.FULL, List.of());
+            List<Upstream> entries = new ArrayList<>();
+            for (int id = 1; id <= 39; id++) {
+                entries.add(Sidecar.upstream(id, Status.READY, 0));
+            }
+            list.apply(0, ListKind.FULL, entries);
+            change(list, 40, Status.READY, 0);
+            taken += list.members.contains(list.find(40)) ? 1 : 0;
+        }
+        assertEquals(0.25, taken / 2000.0, 0.03); // ten of forty
+    }
+
+    @Test
+    void theFirstAttemptsAtAnUpstreamAreSharedByTheSidecarsThatHoldIt() {
+        assertEquals(8, list(1, 4).firstInFlight(), EXACT);
+        assertEquals(2, list(4, 4).firstInFlight(), EXACT);
+        assertEquals(0.08, list(1000, 100).firstInFlight(), EXACT); // each is held by 100 of the 1,000
+    }
+
+    @Test
+    void thePartOfTheWeightIsThatAmongTheMembers() {
+        UpstreamList list = list(1, 4);
+        assertEquals(0.25, list.weightPart(list.find(1)), EXACT);
+        change(list, 1, Status.DRAINING, 0);
+        assertEquals(1 / 3.0, list.weightPart(list.find(2)), EXACT);
+    }
+}
