--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -6,8 +6,7 @@
     final Call call;
     final int number;
     final UpstreamState upstream;
-    /** The list entry at the time: it names the group that drops repeats. */
-    final Balancer.Upstream sentTo;
+    final Balancer.Upstream sentTo; // the list entry at the time: it names the group that drops repeats
     final double sentMs;
     final double timeoutMs;
     Balancer.Outcome outcome; // null while it is out
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -6,7 +6,7 @@
 /** What {@link LoadShiftingBalancer} remembers of one request in hand. */
 final class Call {
 
-    private static final int MOST_ASKS = 6; // upstreams probed for their load for one request
+    static final int MOST_ASKS = 6; // upstreams probed for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
 
     final int id;
@@ -42,17 +42,12 @@
         return value / stats.typicalMs;
     }
 
-    boolean mayAsk() {
-        return asks < MOST_ASKS;
-    }
-
     /** Whether it would miss its aim there by the latest report; after some probes more will do. */
     boolean wouldBeLateAt(double nowMs, UpstreamState upstream) {
         double latencyMs = upstream.load * stats.quietMs() - (nowMs - upstream.reportMs);
         return latencyMs > (2 * asks > MOST_ASKS ? 1 : WAIT_PART) * (aimUntilMs - nowMs);
     }
 
-    /** Notes that an upstream is asked for its load now. */
     void ask(UpstreamState upstream, double nowMs) {
         asks++;
         asked = upstream;
--- a/src/main/java/umberkeel/ConcurrencyLimit.java
+++ b/src/main/java/umberkeel/ConcurrencyLimit.java
@@ -1,9 +1,9 @@
 package umberkeel;
 
 /**
- * How many attempts this sidecar may have in flight at one upstream. Answers quicker than those of a crowded
- * upstream raise the limit, slower ones lower it: that guards against queues, and against upstreams that jam.
- * Below one attempt it sets a pace instead: many sidecars with one attempt each jam an upstream too.
+ * How many attempts this sidecar may have in flight at one upstream. Guards against queues, and upstreams
+ * that jam: answers quicker than a crowded upstream's raise the limit, slower ones lower it. Below one
+ * attempt it sets a pace, since many sidecars with one attempt each jam an upstream too.
  */
 final class ConcurrencyLimit {
 
--- a/src/main/java/umberkeel/ListTimes.java
+++ b/src/main/java/umberkeel/ListTimes.java
@@ -1,10 +1,8 @@
 package umberkeel;
 
 /**
- * How soon the list of upstreams must be in hand again, once discovery can be reached: the protocol
- * counts a change as told after {@link #TOLD_MS}, whether it arrived or not. At the worst a call began
- * to hang just before, and then all of these pass one after the other: SILENCE_MS + PAUSE_MS + CONNECT_MS
- * + ANSWER_MS = TOLD_MS. A call that is refused, or fails, is over sooner than one that hangs.
+ * How soon the list of upstreams must be in hand again, once discovery can be reached. At the worst a call
+ * began to hang just before, and then SILENCE_MS + PAUSE_MS + CONNECT_MS + ANSWER_MS = TOLD_MS pass.
  */
 public final class ListTimes {
 
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -27,7 +27,7 @@
     private final SplittableRandom random;
     private final OutlierEjection ejection;
     private final SlowStart slowStart;
-    private final RetryPolicy retries;
+    private final RetryPolicy retries = new RetryPolicy();
     private final AdmissionControl admission;
     private final LoadShedder shedder = new LoadShedder();
     private final TreeSet<Call> waiting = shedder.waiting;
@@ -44,6 +44,7 @@
     private int listFailures;
     private double nextShareTickMs;
 
+    /** A balancer whose draws follow from {@code seed}, and that acts through {@code actions} alone. */
     public LoadShiftingBalancer(Settings settings, long seed, Actions actions) {
         this.settings = settings;
         this.actions = actions;
@@ -52,7 +53,6 @@
         this.members = list.members;
         this.ejection = new OutlierEjection(actions);
         this.slowStart = new SlowStart(settings.contract());
-        this.retries = new RetryPolicy(settings.limits().maxAttempts());
         settings.classes().forEach(spec -> classes.add(new ClassStats(spec, settings.tickMs())));
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
@@ -97,13 +97,13 @@
             giveUp(call);
         } else if (!waiting.isEmpty() || !dispatch(nowMs, call)) {
             waiting.add(call);
-            shedWaiting(nowMs);
+            shedder.shed(nowMs, controlMs).forEach(this::giveUp);
         }
     }
 
     private boolean dispatch(double nowMs, Call call) {
         UpstreamState upstream = pick(nowMs, call);
-        if (asks && upstream != null && call.mayAsk()
+        if (asks && upstream != null && call.asks < Call.MOST_ASKS
                 && nowMs - upstream.reportMs > settings.tickMs()) {
             call.ask(upstream, nowMs);
             asking.add(call);
@@ -180,7 +180,7 @@
         }
         if (end.requestDone() || call.done) {
             finish(call);
-        } else if (call.inFlight == 0 && retries.allows(nowMs, call)) {
+        } else if (call.inFlight == 0 && retries.allows(nowMs, call, settings.limits().maxAttempts())) {
             place(nowMs, call);
         } else if (call.inFlight == 0) {
             giveUp(call);
@@ -318,10 +318,6 @@
         }
     }
 
-    private void shedWaiting(double nowMs) {
-        shedder.shed(nowMs, controlMs).forEach(this::giveUp);
-    }
-
     @Override
     public void clientRoom(int requests) {
         admission.connections = requests;
@@ -352,7 +348,8 @@
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
         boolean due = !call.done && call.inFlight == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
-        UpstreamState other = due && retries.allows(nowMs, call) ? pick(nowMs, call) : null;
+        boolean allowed = due && retries.allows(nowMs, call, settings.limits().maxAttempts());
+        UpstreamState other = allowed ? pick(nowMs, call) : null;
         if (other != null && other != stuck.upstream) {
             send(nowMs, call, other);
         }
@@ -375,7 +372,7 @@
             watchSilence(nowMs);
             resume(nowMs, call -> nowMs - call.askedMs > controlMs);
             serveWaiting(nowMs);
-            shedWaiting(nowMs);
+            shedder.shed(nowMs, controlMs).forEach(this::giveUp);
             if (nowMs >= nextShareTickMs) {
                 shareTick(nowMs);
             }
--- a/src/main/java/umberkeel/OutlierEjection.java
+++ b/src/main/java/umberkeel/OutlierEjection.java
@@ -22,7 +22,6 @@
         return upstream.probation.excludes(nowMs) || upstream.probation(stats).excludes(nowMs);
     }
 
-    /** Notes an attempt that is sent now: while the upstream is ejected, it is a trial. */
     void sent(double nowMs, UpstreamState upstream, ClassStats stats) {
         upstream.probation.tried(nowMs);
         upstream.probation(stats).tried(nowMs);
@@ -51,7 +50,6 @@
         }
     }
 
-    /** Notes an answer to a request or a probe: it ends an ejection. */
     void answered(double nowMs, UpstreamState upstream, int members) {
         upstream.heardMs = nowMs;
         upstream.probation.failures = 0;
--- a/src/main/java/umberkeel/Probation.java
+++ b/src/main/java/umberkeel/Probation.java
@@ -22,7 +22,6 @@
         nextTrialMs = nowMs + gapMs;
     }
 
-    /** Whether it is ejected and no trial is due. */
     boolean excludes(double nowMs) {
         return ejected && nowMs < nextTrialMs;
     }
--- a/src/main/java/umberkeel/RetryPolicy.java
+++ b/src/main/java/umberkeel/RetryPolicy.java
@@ -9,13 +9,8 @@
     private static final double EARNED = 0.25; // attempts, by each request
     private static final double MOST_SAVED = 20; // attempts
 
-    private final int maxAttempts;
     private double budget = MOST_SAVED / 2;
 
-    RetryPolicy(int maxAttempts) {
-        this.maxAttempts = maxAttempts;
-    }
-
     void requested() {
         budget = Math.min(MOST_SAVED, budget + EARNED);
     }
@@ -26,7 +21,7 @@
     }
 
     /** Whether a request may have a further attempt, if an upstream is found for it. */
-    boolean allows(double nowMs, Call call) {
+    boolean allows(double nowMs, Call call, int maxAttempts) {
         return budget >= 1 && call.attempts.size() < maxAttempts
                 && call.usefulUntilMs - nowMs >= call.stats.typicalMs
                 && (call.stats.spec.effect() != Balancer.Effect.UNSAFE || call.provenNotRun());
--- a/src/main/java/umberkeel/UnservedTries.java
+++ b/src/main/java/umberkeel/UnservedTries.java
@@ -16,7 +16,6 @@
         Arrays.fill(slots, Long.MIN_VALUE);
     }
 
-    /** A try has ended unserved. */
     void note(double cameMs) {
         long slot = (long) Math.floor(cameMs / slotMs);
         int place = Math.floorMod(slot, slots.length);
--- a/src/main/java/umberkeel/UpstreamList.java
+++ b/src/main/java/umberkeel/UpstreamList.java
@@ -88,7 +88,6 @@
         return FIRST_IN_FLIGHT * fleet / (sidecars * Math.min(subsetSize(), fleet));
     }
 
-    /** The part of the members' weight that an upstream has. */
     double weightPart(UpstreamState upstream) {
         double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
         return weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
--- a/src/test/java/umberkeel/RetryPolicyTest.java
+++ b/src/test/java/umberkeel/RetryPolicyTest.java
@@ -16,7 +16,7 @@
     private static final double TYPICAL_MS = 100;
     private static final double USEFUL_UNTIL_MS = 1000;
 
-    private final RetryPolicy retries = new RetryPolicy(3);
+    private final RetryPolicy retries = new RetryPolicy();
     /** In zone 1 and cell 1; 3 is in the same zone, 4 in the same cell. */
     private final UpstreamState first = upstream(1);
 
@@ -45,7 +45,7 @@
     void theBudgetBeginsHalfFullAndIsSpentByRetries() {
         Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
         int resent = 0;
-        while (retries.allows(0, call)) {
+        while (retries.allows(0, call, 3)) {
             retries.sending(call);
             resent++;
         }
@@ -61,18 +61,18 @@
         for (int i = 0; i < 3; i++) {
             retries.requested();
         }
-        assertFalse(retries.allows(0, call));
+        assertFalse(retries.allows(0, call, 3));
         retries.requested();
-        assertTrue(retries.allows(0, call));
+        assertTrue(retries.allows(0, call, 3));
         for (int i = 0; i < 1000; i++) {
             retries.requested();
         }
         for (int i = 0; i < 19; i++) {
             retries.sending(call);
         }
-        assertTrue(retries.allows(0, call));
+        assertTrue(retries.allows(0, call, 3));
         retries.sending(call);
-        assertFalse(retries.allows(0, call));
+        assertFalse(retries.allows(0, call, 3));
     }
 
     @Test
@@ -80,32 +80,32 @@
         for (int i = 0; i < 100; i++) {
             retries.sending(call(Effect.SAFE, Group.ALL));
         }
-        assertTrue(retries.allows(0, sent(Effect.SAFE, Group.ALL, Outcome.ERROR)));
+        assertTrue(retries.allows(0, sent(Effect.SAFE, Group.ALL, Outcome.ERROR), 3));
     }
 
     @Test
     void noMoreAttemptsThanTheLimit() {
         Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
         call.begin(upstream(2), 0);
-        assertTrue(retries.allows(0, call));
+        assertTrue(retries.allows(0, call, 3));
         call.begin(upstream(3), 0);
-        assertFalse(retries.allows(0, call));
+        assertFalse(retries.allows(0, call, 3));
     }
 
     @Test
     void noRetryThatWouldHardlyBeInTime() {
         Call call = sent(Effect.SAFE, Group.ALL, Outcome.ERROR);
-        assertTrue(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS, call));
-        assertFalse(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS + 1, call));
+        assertTrue(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS, call, 3));
+        assertFalse(retries.allows(USEFUL_UNTIL_MS - TYPICAL_MS + 1, call, 3));
     }
 
     @Test
     void anUnsafeRequestIsSentAgainOnlyIfItIsKnownNotToHaveRun() {
         for (Outcome outcome : Outcome.values()) {
-            assertEquals(outcome.provesNotRun(), retries.allows(0, sent(Effect.UNSAFE, Group.ALL, outcome)),
+            assertEquals(outcome.provesNotRun(), retries.allows(0, sent(Effect.UNSAFE, Group.ALL, outcome), 3),
                     outcome.name());
         }
-        assertFalse(retries.allows(0, sent(Effect.UNSAFE, Group.ALL, null)));
+        assertFalse(retries.allows(0, sent(Effect.UNSAFE, Group.ALL, null), 3));
     }
 
     @Test
