--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -6,7 +6,7 @@
 /** What {@link LoadShiftingBalancer} remembers of one request in hand. */
 final class Call {
 
-    static final int MOST_ASKS = 6; // upstreams probed for their load for one request
+    static final int MOST_PROBES = 6; // upstreams probed for their load for one request
     private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
 
     final int id;
@@ -18,9 +18,9 @@
     final double costMs;
     final List<Attempt> attempts = new ArrayList<>(2);
     int inFlight;
-    int asks; // upstreams probed for their load on behalf of this request
-    UpstreamState asked; // the one probed now, or null
-    double askedMs; // since when
+    int probes; // upstreams probed for their load on behalf of this request
+    UpstreamState probed; // the one probed now, or null
+    double probedMs; // since when
     boolean done;
     boolean served;
     boolean streaming;
@@ -45,13 +45,13 @@
     /** Whether it would miss its aim there by the latest report; after some probes more will do. */
     boolean wouldBeLateAt(double nowMs, UpstreamState upstream) {
         double latencyMs = upstream.load * stats.quietMs() - (nowMs - upstream.reportMs);
-        return latencyMs > (2 * asks > MOST_ASKS ? 1 : WAIT_PART) * (aimUntilMs - nowMs);
+        return latencyMs > (2 * probes > MOST_PROBES ? 1 : WAIT_PART) * (aimUntilMs - nowMs);
     }
 
-    void ask(UpstreamState upstream, double nowMs) {
-        asks++;
-        asked = upstream;
-        askedMs = nowMs;
+    void probe(UpstreamState upstream, double nowMs) {
+        probes++;
+        probed = upstream;
+        probedMs = nowMs;
     }
 
     /** Notes an attempt that is sent now, for as long as its answer is of use. */
--- a/src/main/java/umberkeel/LoadShiftingBalancer.java
+++ b/src/main/java/umberkeel/LoadShiftingBalancer.java
@@ -37,8 +37,8 @@
     private final List<UpstreamState> members;
     private final Map<Integer, Call> calls = new HashMap<>();
     private long received;
-    private final boolean asks;
-    private final List<Call> asking = new ArrayList<>();
+    private final boolean probesLoad; // before it sends, where upstreams report load to probes alone
+    private final List<Call> awaitingProbe = new ArrayList<>();
     private boolean controlArmed;
     private boolean subscribeArmed;
     private int listFailures;
@@ -54,7 +54,7 @@
         this.ejection = new OutlierEjection(actions);
         this.slowStart = new SlowStart(settings.contract());
         settings.classes().forEach(spec -> classes.add(new ClassStats(spec, settings.tickMs())));
-        asks = settings.limits().probes() && settings.reportsOnProbe();
+        probesLoad = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
         admission = new AdmissionControl(settings.goal(), classes);
     }
@@ -103,10 +103,10 @@
 
     private boolean dispatch(double nowMs, Call call) {
         UpstreamState upstream = pick(nowMs, call);
-        if (asks && upstream != null && call.asks < Call.MOST_ASKS
+        if (probesLoad && upstream != null && call.probes < Call.MOST_PROBES
                 && nowMs - upstream.reportMs > settings.tickMs()) {
-            call.ask(upstream, nowMs);
-            asking.add(call);
+            call.probe(upstream, nowMs);
+            awaitingProbe.add(call);
             actions.probe(upstream.id);
         } else if (upstream != null) {
             send(nowMs, call, upstream);
@@ -258,7 +258,7 @@
         if (started == null || started.outcome != null || call.streaming) {
             return;
         }
-        call.streaming = true; // it belongs to the client now: its length says nothing of the server
+        call.streaming = true; // it belongs to the client now: its length says nothing of the upstream
         started.upstream.attempts.remove(started);
         learn(nowMs, started, Outcome.OK, elapsedMs);
         cancelOthers(call, started);
@@ -269,13 +269,13 @@
         Call call = calls.get(request);
         if (call != null && !call.done) {
             waiting.remove(call);
-            asking.remove(call);
+            awaitingProbe.remove(call);
             finish(call);
         }
     }
 
     private boolean sparse() {
-        return !asks && list.firstInFlight() < 1;
+        return !probesLoad && list.firstInFlight() < 1;
     }
 
     @Override
@@ -288,7 +288,7 @@
             probed.report(nowMs, Double.MAX_VALUE); // until it has answered another probe
             ejection.eject(nowMs, probed, "a probe found it out of reach");
         }
-        resume(nowMs, call -> call.asked == probed);
+        resume(nowMs, call -> call.probed == probed);
     }
 
     /** Without a report: many sidecars with few attempts see no queue but by what the latest attempt took. */
@@ -299,10 +299,10 @@
     }
 
     private void resume(double nowMs, Predicate<Call> due) {
-        List<Call> ready = asking.stream().filter(due).toList();
-        asking.removeAll(ready);
+        List<Call> ready = awaitingProbe.stream().filter(due).toList();
+        awaitingProbe.removeAll(ready);
         for (Call call : ready) {
-            UpstreamState upstream = call.asked;
+            UpstreamState upstream = call.probed;
             boolean heard = upstream.ready() && nowMs - upstream.reportMs <= settings.tickMs();
             if (heard && !ejection.excludes(nowMs, upstream, call.stats) && fit(nowMs, call, upstream)) {
                 send(nowMs, call, upstream);
@@ -325,7 +325,7 @@
 
     private void watchSilence(double nowMs) {
         for (UpstreamState upstream : members) {
-            if (asks && upstream.probation.ejected && !upstream.probation.excludes(nowMs)) {
+            if (probesLoad && upstream.probation.ejected && !upstream.probation.excludes(nowMs)) {
                 upstream.probation.tried(nowMs);
                 actions.probe(upstream.id);
             }
@@ -344,7 +344,7 @@
         }
     }
 
-    /** A second copy of what is stuck at a server set aside: where class, budget and spare room allow it. */
+    /** A second copy of what is stuck at an ejected upstream: where class, budget and spare room allow it. */
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
         boolean due = !call.done && call.inFlight == 1 && nowMs - stuck.sentMs > call.stats.typicalMs;
@@ -370,7 +370,7 @@
         } else if (controlArmed) {
             controlArmed = false;
             watchSilence(nowMs);
-            resume(nowMs, call -> nowMs - call.askedMs > controlMs);
+            resume(nowMs, call -> nowMs - call.probedMs > controlMs);
             serveWaiting(nowMs);
             shedder.shed(nowMs, controlMs).forEach(this::giveUp);
             if (nowMs >= nextShareTickMs) {
