--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/umberkeel/Attempt.java
@@ -5,29 +5,26 @@
 
     final Call call;
     final int number;
-    final Host host;
-    /** The list entry at the time: it names the group that drops repeats. */
-    final Balancer.Upstream sentTo;
+    final UpstreamState upstream;
+    final Balancer.Upstream sentTo; // the list entry at the time: it names the group that drops repeats
     final double sentMs;
     final double timeoutMs;
-    /** Null while it is out. */
-    Balancer.Outcome outcome;
+    Balancer.Outcome outcome; // null while it is out
 
-    Attempt(Call call, Host host, double sentMs, double timeoutMs) {
+    Attempt(Call call, UpstreamState upstream, double sentMs, double timeoutMs) {
         this.call = call;
         this.number = call.attempts.size();
-        this.host = host;
-        this.sentTo = host.listed;
+        this.upstream = upstream;
+        this.sentTo = upstream.listed;
         this.sentMs = sentMs;
         this.timeoutMs = timeoutMs;
     }
 
-    /** Notes its end. */
     void end(Balancer.Outcome how) {
         outcome = how;
-        call.out--;
-        host.out--;
-        host.attempts.remove(this);
+        call.inFlight--;
+        upstream.inFlight--;
+        upstream.attempts.remove(this);
     }
 
     boolean mayHaveRun() {
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/umberkeel/Call.java
@@ -6,30 +6,30 @@
 /** What {@link LoadShiftingBalancer} remembers of one request in hand. */
 final class Call {
 
+    static final int MOST_PROBES = 6; // upstreams probed for their load for one request
+    private static final double WAIT_PART = 0.6; // of the time left, that a request may take by a report
+
     final int id;
-    final ClassView view;
-    /** What an answer is worth where not all can be served, and its place in the order of arrival. */
-    final double value;
-    final long order;
+    final ClassStats stats;
+    final double value; // what an answer is worth where not all can be served
+    final long order; // of arrival
     final double aimUntilMs;
     final double usefulUntilMs;
     final double costMs;
     final List<Attempt> attempts = new ArrayList<>(2);
-    int out;
-    /** Servers asked for their load on behalf of this request; the one asked now, or null, and since when. */
-    int asks;
-    Host asked;
-    double askedMs;
+    int inFlight;
+    int probes; // upstreams probed for their load on behalf of this request
+    UpstreamState probed; // the one probed now, or null
+    double probedMs; // since when
     boolean done;
     boolean served;
     boolean streaming;
-    /** When its client's first try came. */
-    double firstMs;
+    double firstMs; // when its client's first try came
 
-    Call(Balancer.Request request, ClassView view, double value, long order, double aimUntilMs,
+    Call(Balancer.Request request, ClassStats stats, double value, long order, double aimUntilMs,
             double usefulUntilMs) {
         this.id = request.id();
-        this.view = view;
+        this.stats = stats;
         this.value = value;
         this.order = order;
         this.aimUntilMs = aimUntilMs;
@@ -39,33 +39,37 @@
 
     /** Its worth over the time for which it is likely to hold its client's connection. */
     double worthPerMs() {
-        return value / view.typicalMs;
+        return value / stats.typicalMs;
+    }
+
+    /** Whether it would miss its aim there by the latest report; after some probes more will do. */
+    boolean wouldBeLateAt(double nowMs, UpstreamState upstream) {
+        double latencyMs = upstream.load * stats.quietMs() - (nowMs - upstream.reportMs);
+        return latencyMs > (2 * probes > MOST_PROBES ? 1 : WAIT_PART) * (aimUntilMs - nowMs);
     }
 
-    /** Notes that a server is asked for its load now. */
-    void ask(Host host, double nowMs) {
-        asks++;
-        asked = host;
-        askedMs = nowMs;
+    void probe(UpstreamState upstream, double nowMs) {
+        probes++;
+        probed = upstream;
+        probedMs = nowMs;
     }
 
     /** Notes an attempt that is sent now, for as long as its answer is of use. */
-    void begin(Host host, double nowMs) {
-        Attempt attempt = new Attempt(this, host, nowMs, usefulUntilMs - nowMs);
+    void begin(UpstreamState upstream, double nowMs) {
+        Attempt attempt = new Attempt(this, upstream, nowMs, usefulUntilMs - nowMs);
         attempts.add(attempt);
-        out++;
-        host.out++;
-        host.attempts.addLast(attempt);
+        inFlight++;
+        upstream.inFlight++;
+        upstream.attempts.addLast(attempt);
     }
 
-    /** The attempt of this number, or null if there is none. */
     Attempt attempt(int number) {
         return number >= 0 && number < attempts.size() ? attempts.get(number) : null;
     }
 
-    boolean tried(Host host) {
+    boolean tried(UpstreamState upstream) {
         for (Attempt attempt : attempts) {
-            if (attempt.host == host) {
+            if (attempt.upstream == upstream) {
                 return true;
             }
         }
--- /dev/null
+++ b/src/main/java/umberkeel/Probation.java
@@ -0,0 +1,28 @@
+package umberkeel;
+
+/** Failures in a row and, once they have led to an ejection, when the next trial is due: ever rarer. */
+final class Probation {
+
+    private static final double FIRST_GAP_MS = 250; // doubled before each trial, the first one too
+    private static final double LONGEST_GAP_MS = 4000;
+
+    int failures;
+    boolean ejected;
+    private double nextTrialMs;
+    private double gapMs;
+
+    void begin(double nowMs) {
+        ejected = true;
+        gapMs = FIRST_GAP_MS;
+        tried(nowMs);
+    }
+
+    void tried(double nowMs) {
+        gapMs = Math.min(2 * gapMs, LONGEST_GAP_MS);
+        nextTrialMs = nowMs + gapMs;
+    }
+
+    boolean excludes(double nowMs) {
+        return ejected && nowMs < nextTrialMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/umberkeel/UpstreamState.java
@@ -0,0 +1,67 @@
+package umberkeel;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
+final class UpstreamState {
+
+    private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded upstream takes
+
+    final int id;
+    Balancer.Upstream listed; // what discovery said last
+    boolean weighed; // whether it was a candidate for the subset before
+    double share; // its part of the draw
+    double latencySum; // over typical latencies: this tick's samples, and earlier ones if few
+    double samples;
+    double tickLatency; // the mean of them at the last tick
+    double trust; // how far that mean can be trusted, from 0 to 1
+    double smoothRatio = 1; // latency over the quiet one of its class, smoothed
+    double quietRatio = 1; // the same when this upstream is quiet itself
+    final ConcurrencyLimit limit = new ConcurrencyLimit();
+    int inFlight;
+    final ArrayDeque<Attempt> attempts = new ArrayDeque<>(); // in flight, oldest first, without streams
+    double heardMs;
+    double load; // quiet latencies that a request sent at the latest report would take
+    double reportMs = Double.NEGATIVE_INFINITY;
+    final Probation probation = new Probation(); // of it as a whole
+    private final Map<ClassStats, Probation> classProbation = new HashMap<>(); // of classes sent to it
+    final TokenBucket slowStartBudget = new TokenBucket();
+
+    UpstreamState(Balancer.Upstream listed) {
+        this.id = listed.id();
+        this.listed = listed;
+    }
+
+    Probation probation(ClassStats stats) {
+        return classProbation.computeIfAbsent(stats, unused -> new Probation());
+    }
+
+    /** By which part a latency is under that of a crowded upstream; negative where it is over it. */
+    double headroom(ClassStats stats, double latencyMs) {
+        return CROWDED * stats.quietMs() * quietRatio / latencyMs - 1;
+    }
+
+    void served(double latencyRatio) {
+        smoothRatio += (latencyRatio - smoothRatio) / ClassStats.SMOOTHING;
+    }
+
+    void tick() {
+        quietRatio = Math.max(1, ClassStats.floor(quietRatio, smoothRatio, ClassStats.FORGET));
+    }
+
+    void report(double nowMs, double requestLoad) {
+        load = requestLoad;
+        reportMs = nowMs;
+    }
+
+    boolean ready() {
+        return listed.status() == Balancer.Status.READY;
+    }
+
+    @Override
+    public String toString() {
+        return "upstream " + Integer.toUnsignedString(id);
+    }
+}
