Give up a stopped answer by one scheduled task, not by two

Cause: the packaged sidecar loaded UpstreamConnection$$Lambda$171 while it served, in one run of ServedClassesIT on a busy machine: the task that looks again after a read is a lambda of its own, and the run that the class archive is dumped from had not come by there.

Change: one task for the first look and the next ones, which each answer that has begun sets.

--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/umberkeel/node/UpstreamConnection.java
@@ -218,22 +218,20 @@
         if (outcome != null && attempt != null) {
             upstreams.end(attempt, outcome, report, answer);
         } else if (attempt != null && decoder.isPartial()) {
-            Attempt begun = attempt;
-            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, LAST_READS), ANSWER_MS, TimeUnit.MILLISECONDS);
+            spoilLater(attempt, LAST_READS, ANSWER_MS);
         }
         context.fireChannelReadComplete();
     }
 
     /** The clock alone does not tell: what came in time may lie unread. A timer set now fires behind the next read. */
-    private void spoilUnlessRead(Attempt begun, int reads) {
-        if (begun != attempt) {
-            return;
-        }
-        if (reads == 0) {
-            spoil();
-        } else {
-            channel.eventLoop().schedule(() -> spoilUnlessRead(begun, reads - 1), 0, TimeUnit.MILLISECONDS);
-        }
+    private void spoilLater(Attempt begun, int reads, long delayMs) {
+        channel.eventLoop().schedule(() -> {
+            if (begun == attempt && reads > 0) {
+                spoilLater(begun, reads - 1, 0);
+            } else if (begun == attempt) {
+                spoil();
+            }
+        }, delayMs, TimeUnit.MILLISECONDS);
     }
 
     // ---- Its end.
