Rename the package, the jar and its class archive to gradehub

The program has been called gradehub for some time, while its packages, artifact, jar, class archive, logger and error prefixes kept the old name. All now bear the new one; nothing else changes.

--- a/src/main/java/umberkeel/AdmissionControl.java
+++ b/src/main/java/gradehub/AdmissionControl.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import java.util.Collection;
 import java.util.Comparator;
--- a/src/main/java/umberkeel/ConcurrencyLimit.java
+++ b/src/main/java/gradehub/ConcurrencyLimit.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /**
  * How many attempts this sidecar may have in flight at one upstream. Guards against queues, and upstreams
--- a/src/main/java/umberkeel/OutlierEjection.java
+++ b/src/main/java/gradehub/OutlierEjection.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /**
  * Takes upstreams out of the draw that are silent (hung, paused, out of reach) or fail. Acts on silence of
--- a/src/main/java/umberkeel/RetryPolicy.java
+++ b/src/main/java/gradehub/RetryPolicy.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /**
  * Which requests get a further attempt, as a retry or a second copy, and where. Guards against retry storms,
--- a/src/main/java/umberkeel/SlowStart.java
+++ b/src/main/java/gradehub/SlowStart.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /**
  * Guards against pushing over an upstream that has just started. Acts for the contract's time: first attempts
--- a/src/main/java/umberkeel/node/TrainingTraffic.java
+++ b/src/main/java/gradehub/node/TrainingTraffic.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +14,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import umberkeel.node.TrainingPeers.Reaction;
+import gradehub.node.TrainingPeers.Reaction;
 
 /** The clients of a training run: good, bad, slow, impatient and many at once. */
 final class TrainingTraffic {
--- a/src/test/java/umberkeel/AdmissionControlTest.java
+++ b/src/test/java/gradehub/AdmissionControlTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,9 +11,9 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Goal;
-import umberkeel.Balancer.Group;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
 
 class AdmissionControlTest {
 
--- a/src/test/java/umberkeel/ClassStatsTest.java
+++ b/src/test/java/gradehub/ClassStatsTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,8 +7,8 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
 
 class ClassStatsTest {
 
--- a/src/test/java/umberkeel/ConcurrencyLimitTest.java
+++ b/src/test/java/gradehub/ConcurrencyLimitTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/umberkeel/IdleActions.java
+++ b/src/test/java/gradehub/IdleActions.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** Does nothing of what a balancer asks for; a test overrides what it looks at. */
 class IdleActions implements Balancer.Actions {
--- a/src/test/java/umberkeel/OutlierEjectionTest.java
+++ b/src/test/java/gradehub/OutlierEjectionTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,9 +9,9 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Status;
 
 class OutlierEjectionTest {
 
--- a/src/test/java/umberkeel/RetryPolicyTest.java
+++ b/src/test/java/gradehub/RetryPolicyTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,10 +6,10 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Status;
 
 class RetryPolicyTest {
 
--- a/src/test/java/umberkeel/SlowStartTest.java
+++ b/src/test/java/gradehub/SlowStartTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,8 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Contract;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Contract;
+import gradehub.Balancer.Status;
 
 class SlowStartTest {
 
--- a/src/test/java/umberkeel/UpstreamListTest.java
+++ b/src/test/java/gradehub/UpstreamListTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,9 +13,9 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 
 class UpstreamListTest {
 
--- a/src/test/java/umberkeel/node/ServedClassesIT.java
+++ b/src/test/java/gradehub/node/ServedClassesIT.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-import umberkeel.node.TrainingSession.Membership;
+import gradehub.node.TrainingSession.Membership;
 
 /**
  * The packaged sidecar, started as the deploy file says, with its clients, upstreams and discovery in trouble. What it
--- a/src/test/java/umberkeel/node/StartCollectionIT.java
+++ b/src/test/java/gradehub/node/StartCollectionIT.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import umberkeel.node.TrainingSession.Membership;
+import gradehub.node.TrainingSession.Membership;
 
 /** Collections of the packaged sidecar's heap: each stands in the way of the requests that come meanwhile. */
 class StartCollectionIT {
