Make the sidecar a module below a parent pom

A second module that uses the sidecar's classes had no place, and must never get into the sidecar's jar.

--- a/src/test/java/gradehub/node/PackagedSidecar.java
+++ b/sidecar/src/test/java/gradehub/node/PackagedSidecar.java
@@ -12,7 +12,7 @@
 final class PackagedSidecar {
 
     /** The repository, from the folder in which the tests run. */
-    private static final Path ROOT = Path.of("");
+    private static final Path ROOT = Path.of("..");
     private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
 
     private PackagedSidecar() {
