--- a/sidecar/src/main/java/gradehub/AdmissionControl.java
+++ b/sidecar/src/main/java/gradehub/AdmissionControl.java
@@ -37,12 +37,20 @@
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
     double worth(ClassStats stats) {
         double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
-        boolean starved = stats.served < WELL_SERVED * stats.offered && classes.stream().noneMatch(
-                other -> other.served * stats.offered < stats.served * other.offered);
+        boolean starved = stats.served < WELL_SERVED * stats.offered && isServedWorst(stats);
         double lift = starved ? goal.worstClass() * offered / stats.offered : 0;
         return goal.whole() * stats.spec.worth() + lift;
     }
 
+    private boolean isServedWorst(ClassStats stats) {
+        for (ClassStats other : classes) {
+            if (other.served * stats.offered < stats.served * other.offered) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Whether a request hardly earns: there is too little time left, for its class or by its hint. */
     static boolean isTooLate(double nowMs, Call call) {
         return call.usefulUntilMs - nowMs <= Math.max(call.stats.typicalMs / 2, call.costMs);
--- a/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
+++ b/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
@@ -139,11 +139,15 @@
         double warmth = slowStart.warmth(nowMs, upstream.listed);
         return retries.allowsAt(nowMs, call, upstream)
                 && upstream.limit.admits(nowMs, upstream.inFlight, warmth)
-                && (warmth >= 1 || call.attempts.isEmpty()
-                && slowStart.admits(nowMs, upstream.slowStartBudget, warmth, list.weightPart(upstream)))
+                && (warmth >= 1 || admitsCold(nowMs, call, upstream, warmth))
                 && !call.wouldBeLateAt(nowMs, upstream);
     }
 
+    private boolean admitsCold(double nowMs, Call call, UpstreamState upstream, double warmth) {
+        double part = list.weightPart(upstream);
+        return call.attempts.isEmpty() && slowStart.admits(nowMs, upstream.slowStartBudget, warmth, part);
+    }
+
     private void send(double nowMs, Call call, UpstreamState upstream) {
         retries.sending(call);
         call.begin(upstream, nowMs);
--- a/sidecar/src/main/java/gradehub/UpstreamList.java
+++ b/sidecar/src/main/java/gradehub/UpstreamList.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import gradehub.Balancer.Status;
+
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class UpstreamList {
 
@@ -43,8 +45,8 @@
             known.listed = entry;
         }
         members.removeIf(upstream -> !upstream.ready());
-        upstreams.removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
-        byId.values().removeIf(upstream -> upstream.listed.status() == Balancer.Status.GONE);
+        upstreams.removeIf(upstream -> upstream.listed.status() == Status.GONE);
+        byId.values().removeIf(upstream -> upstream.listed.status() == Status.GONE);
         fillSubset(nowMs);
     }
 
@@ -95,7 +97,7 @@
 
     private static void markGone(UpstreamState upstream) {
         Balancer.Upstream old = upstream.listed;
-        upstream.listed = new Balancer.Upstream(old.id(), Balancer.Status.GONE, old.startedMs(), old.zone(),
+        upstream.listed = new Balancer.Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(),
                 old.kind(), old.cell(), old.weight());
     }
 }
