--- a/sidecar/src/main/java/gradehub/AdmissionControl.java
+++ b/sidecar/src/main/java/gradehub/AdmissionControl.java
@@ -36,7 +36,9 @@
 
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
     double worth(ClassStats stats) {
-        double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
+        double offered = classes.stream()
+                .mapToDouble(other -> other.offered * other.spec.worth())
+                .sum();
         boolean starved = stats.served < WELL_SERVED * stats.offered && isServedWorst(stats);
         double lift = starved ? goal.worstClass() * offered / stats.offered : 0;
         return goal.whole() * stats.spec.worth() + lift;
@@ -68,10 +70,15 @@
         if (connections == 0 || left >= kept) {
             return null;
         }
-        Call least = waiting.stream().min(Comparator.comparingDouble(Call::worthPerMs)).orElse(call);
+        Call least = waiting.stream()
+                .min(Comparator.comparingDouble(Call::worthPerMs))
+                .orElse(call);
         if (least.worthPerMs() >= call.worthPerMs()) {
-            double best = classes.stream().filter(stats -> stats.offered > 0)
-                    .mapToDouble(stats -> worth(stats) / stats.typicalMs).max().orElse(0);
+            double best = classes.stream()
+                    .filter(stats -> stats.offered > 0)
+                    .mapToDouble(stats -> worth(stats) / stats.typicalMs)
+                    .max()
+                    .orElse(0);
             least = left < kept * (1 - call.worthPerMs() / best) ? call : null;
         }
         yielded += least == null ? 0 : 1;
@@ -83,8 +90,10 @@
         inTime *= REMEMBERED;
         if (yielded > 0 != yielding) {
             yielding = yielded > 0;
-            actions.log(yielding ? "clients run out of connections: refusing what is worth least for its time"
-                    : "clients have connections left again");
+            actions.log(
+                    yielding
+                            ? "clients run out of connections: refusing what is worth least for its time"
+                            : "clients have connections left again");
         }
         yielded = 0;
     }
--- a/sidecar/src/main/java/gradehub/Call.java
+++ b/sidecar/src/main/java/gradehub/Call.java
@@ -26,7 +26,12 @@
     boolean streaming;
     double firstMs; // when its client's first try came
 
-    Call(Balancer.Request request, ClassStats stats, double value, long order, double aimUntilMs,
+    Call(
+            Balancer.Request request,
+            ClassStats stats,
+            double value,
+            long order,
+            double aimUntilMs,
             double usefulUntilMs) {
         this.id = request.id();
         this.stats = stats;
--- a/sidecar/src/main/java/gradehub/ClassStats.java
+++ b/sidecar/src/main/java/gradehub/ClassStats.java
@@ -45,8 +45,7 @@
     void tick(boolean starved) {
         offered *= KEPT;
         served *= KEPT;
-        quietMs = answers < SMOOTHING ? 0
-                : floor(quietMs(), typicalMs, starved ? FORGET_STARVED : FORGET);
+        quietMs = answers < SMOOTHING ? 0 : floor(quietMs(), typicalMs, starved ? FORGET_STARVED : FORGET);
     }
 
     /** The typical latency, until enough answers are known to tell what is quiet. */
--- a/sidecar/src/main/java/gradehub/LoadShares.java
+++ b/sidecar/src/main/java/gradehub/LoadShares.java
@@ -16,8 +16,7 @@
     private static final double HALF_TRUST = 4; // samples at which the mean of a tick counts half
     private static final double LEAST_SHARE = 0.1; // of the mean share, so that each member is still seen
 
-    private LoadShares() {
-    }
+    private LoadShares() {}
 
     /** Moves the members' shares toward equal latency, by the samples of the tick that ends. */
     static void shift(double nowMs, List<UpstreamState> members) {
--- a/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
+++ b/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
@@ -103,7 +103,9 @@
 
     private boolean dispatch(double nowMs, Call call) {
         UpstreamState upstream = pick(nowMs, call);
-        if (probesLoad && upstream != null && call.probes < Call.MOST_PROBES
+        if (probesLoad
+                && upstream != null
+                && call.probes < Call.MOST_PROBES
                 && nowMs - upstream.reportMs > settings.tickMs()) {
             call.probe(upstream, nowMs);
             awaitingProbe.add(call);
@@ -184,7 +186,8 @@
         }
         if (end.requestDone() || call.done) {
             finish(call);
-        } else if (call.inFlight == 0 && retries.allows(nowMs, call, settings.limits().maxAttempts())) {
+        } else if (call.inFlight == 0
+                && retries.allows(nowMs, call, settings.limits().maxAttempts())) {
             place(nowMs, call);
         } else if (call.inFlight == 0) {
             giveUp(call);
@@ -222,8 +225,8 @@
             // A broken connection says nothing of a queue: the share and the streak of failures answer to it.
             guess(nowMs, upstream, latencyMs / stats.quietMs());
             double minimum = Math.min(1, list.firstInFlight() / 2);
-            upstream.limit.adjust(nowMs, upstream.inFlight, upstream.headroom(stats, latencyMs), minimum,
-                    stats.typicalMs);
+            upstream.limit.adjust(
+                    nowMs, upstream.inFlight, upstream.headroom(stats, latencyMs), minimum, stats.typicalMs);
         }
     }
 
--- a/sidecar/src/main/java/gradehub/Main.java
+++ b/sidecar/src/main/java/gradehub/Main.java
@@ -1,5 +1,8 @@
 package gradehub;
 
+import gradehub.benchlink.BenchLink;
+import gradehub.node.ArchiveRun;
+import gradehub.node.Sidecar;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -7,10 +10,6 @@
 import java.io.OutputStream;
 import java.util.Arrays;
 
-import gradehub.benchlink.BenchLink;
-import gradehub.node.ArchiveRun;
-import gradehub.node.Sidecar;
-
 /**
  * {@code serve} runs the sidecar on sockets, {@code benchlink} plays the simulator's wire on standard streams, and
  * {@code archive} is a part of the build: see {@link ArchiveRun}.
@@ -20,8 +19,7 @@
     /** Netty's switch for the flight recorder events of its allocator. */
     private static final String NETTY_RECORDER_EVENTS = "io.netty.jfr.enabled";
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) throws Exception {
         // Before Netty is loaded: it would set them up on the event loop, at the first chunk that it lets go.
--- a/sidecar/src/main/java/gradehub/RetryPolicy.java
+++ b/sidecar/src/main/java/gradehub/RetryPolicy.java
@@ -22,7 +22,8 @@
 
     /** Whether a request may have a further attempt, if an upstream is found for it. */
     boolean allows(double nowMs, Call call, int maxAttempts) {
-        return budget >= 1 && call.attempts.size() < maxAttempts
+        return budget >= 1
+                && call.attempts.size() < maxAttempts
                 && call.usefulUntilMs - nowMs >= call.stats.typicalMs
                 && (call.stats.spec.effect() != Balancer.Effect.UNSAFE || call.provenNotRun());
     }
@@ -30,15 +31,18 @@
     /** A keyed request that may have run goes only to the group that drops its repeats, within the window. */
     boolean allowsAt(double nowMs, Call call, UpstreamState upstream) {
         Balancer.RequestClass spec = call.stats.spec;
-        return spec.effect() != Balancer.Effect.KEYED || call.attempts.stream().allMatch(
-                sent -> !sent.mayHaveRun() || nowMs - sent.sentMs < spec.windowMs()
-                && sent.inGroup(spec.group(), upstream.listed));
+        return spec.effect() != Balancer.Effect.KEYED
+                || call.attempts.stream()
+                        .allMatch(sent -> !sent.mayHaveRun()
+                                || nowMs - sent.sentMs < spec.windowMs()
+                                        && sent.inGroup(spec.group(), upstream.listed));
     }
 
     /** Whether the client may send it again, wherever that goes: a refusal says so. */
     boolean isRepeatHarmless(Call call) {
         Balancer.Effect effect = call.stats.spec.effect();
-        return effect == Balancer.Effect.SAFE || call.provenNotRun()
+        return effect == Balancer.Effect.SAFE
+                || call.provenNotRun()
                 || effect == Balancer.Effect.KEYED && call.stats.spec.group() == Balancer.Group.ALL;
     }
 }
--- a/sidecar/src/main/java/gradehub/UpstreamList.java
+++ b/sidecar/src/main/java/gradehub/UpstreamList.java
@@ -1,13 +1,12 @@
 package gradehub;
 
+import gradehub.Balancer.Status;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
-import gradehub.Balancer.Status;
-
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class UpstreamList {
 
@@ -59,7 +58,9 @@
         List<UpstreamState> candidates = new ArrayList<>(upstreams);
         candidates.removeIf(upstream -> !upstream.ready() || members.contains(upstream));
         LoadShares.normalise(members);
-        double weights = members.stream().mapToDouble(upstream -> upstream.listed.weight()).sum();
+        double weights = members.stream()
+                .mapToDouble(upstream -> upstream.listed.weight())
+                .sum();
         while (!candidates.isEmpty()) {
             UpstreamState upstream = candidates.remove(random.nextInt(candidates.size()));
             boolean full = members.size() >= subsetSize();
@@ -91,13 +92,14 @@
     }
 
     double weightPart(UpstreamState upstream) {
-        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
+        double weights =
+                members.stream().mapToDouble(member -> member.listed.weight()).sum();
         return weights > 0 ? upstream.listed.weight() / weights : 1.0 / members.size();
     }
 
     private static void markGone(UpstreamState upstream) {
         Balancer.Upstream old = upstream.listed;
-        upstream.listed = new Balancer.Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(),
-                old.kind(), old.cell(), old.weight());
+        upstream.listed = new Balancer.Upstream(
+                old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(), old.cell(), old.weight());
     }
 }
--- a/sidecar/src/main/java/gradehub/node/ArchiveRun.java
+++ b/sidecar/src/main/java/gradehub/node/ArchiveRun.java
@@ -12,8 +12,7 @@
  */
 public final class ArchiveRun {
 
-    private ArchiveRun() {
-    }
+    private ArchiveRun() {}
 
     /** Ends the process, as SIGTERM ends a sidecar. */
     public static void main() throws IOException, InterruptedException, ExecutionException, Config.BadConfigException {
--- a/sidecar/src/main/java/gradehub/node/RequestDecoder.java
+++ b/sidecar/src/main/java/gradehub/node/RequestDecoder.java
@@ -1,12 +1,11 @@
 package gradehub.node;
 
-import java.util.List;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 
 /** Reads requests, strictly: what could be read in two ways might hide another request. Tells when input comes. */
 final class RequestDecoder extends HttpRequestDecoder {
--- a/sidecar/src/main/java/gradehub/node/TrainingPeers.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingPeers.java
@@ -22,14 +22,39 @@
 
     /** What an upstream does with a request; the request names it in the second part of its path. */
     enum Reaction {
-        SERVE, SERVE_CHUNKED, SERVE_UNTIL_CLOSE, SERVE_AFTER_INTERIM, SERVE_AND_CLOSE, SERVE_LATE, SERVE_AND_MORE,
-        ERROR, TURN_AWAY, TURN_AWAY_LATE, NOT_FOUND, RESET, CLOSE, SILENT_AT_FIRST, SILENT, HALF_ANSWER, HALF_HEAD,
-        TOO_LONG, NO_HTTP, NO_COLON
+        SERVE,
+        SERVE_CHUNKED,
+        SERVE_UNTIL_CLOSE,
+        SERVE_AFTER_INTERIM,
+        SERVE_AND_CLOSE,
+        SERVE_LATE,
+        SERVE_AND_MORE,
+        ERROR,
+        TURN_AWAY,
+        TURN_AWAY_LATE,
+        NOT_FOUND,
+        RESET,
+        CLOSE,
+        SILENT_AT_FIRST,
+        SILENT,
+        HALF_ANSWER,
+        HALF_HEAD,
+        TOO_LONG,
+        NO_HTTP,
+        NO_COLON
     }
 
     /** What the first discovery service does with its watches, one after the other; the last one is repeated. */
     enum WatchStep {
-        LIST_THEN_CHANGES, UNAVAILABLE, RESET, NO_LIST, HALF_LIST, NO_MEMBERS, WHOLE_LIST, SILENT, STEADY
+        LIST_THEN_CHANGES,
+        UNAVAILABLE,
+        RESET,
+        NO_LIST,
+        HALF_LIST,
+        NO_MEMBERS,
+        WHOLE_LIST,
+        SILENT,
+        STEADY
     }
 
     private static final int UPSTREAMS = 4;
@@ -197,11 +222,12 @@
                     wire.send(served(""));
                 }
             }
-            case SILENT -> { }
+            case SILENT -> {}
             case HALF_ANSWER -> wire.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
             case HALF_HEAD -> wire.send("HTTP/1.1 200 OK\r\nConte");
-            case TOO_LONG -> wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + TOO_LONG_BYTES + "\r\n\r\n"
-                    + "b".repeat(TOO_LONG_BYTES));
+            case TOO_LONG ->
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + TOO_LONG_BYTES + "\r\n\r\n"
+                        + "b".repeat(TOO_LONG_BYTES));
             case NO_HTTP -> wire.send("what is this?\r\n\r\n");
             case NO_COLON -> wire.send("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 3\r\n\r\nabc");
             default -> throw new IllegalStateException(reaction.name());
@@ -252,7 +278,7 @@
             case NO_MEMBERS -> wire.send(CHUNKED + chunk("{\"revision\":\"x\"}\n"));
             case WHOLE_LIST -> wire.send(withLength(fullList(9)));
             case SILENT -> wire.read();
-            case STEADY -> { }
+            case STEADY -> {}
             default -> throw new IllegalStateException(step.name());
         }
     }
@@ -269,9 +295,13 @@
     private void changes(TrainingWire wire) throws IOException, InterruptedException {
         String last = upstreams.get(UPSTREAMS - 1);
         wire.send(CHUNKED + chunk(fullList(2).replace(",", ",\n  ")));
-        List<String> changes = List.of(member("u3", last, "leaving", 0), member("u3", last, "left", 0),
-                member("u3", last, "active", 1), member("u3", last, "active", System.currentTimeMillis()),
-                member("u3", upstreams.get(0), "active", 1), member("u3", last, "active", 0));
+        List<String> changes = List.of(
+                member("u3", last, "leaving", 0),
+                member("u3", last, "left", 0),
+                member("u3", last, "active", 1),
+                member("u3", last, "active", System.currentTimeMillis()),
+                member("u3", upstreams.get(0), "active", 1),
+                member("u3", last, "active", 0));
         int revision = 3;
         for (String change : changes) {
             wire.send(chunk("\n"));
@@ -292,8 +322,8 @@
     }
 
     private static String list(int revision, boolean complete, List<String> members) {
-        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":["
-                + String.join(",", members) + "]}\n";
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + String.join(",", members)
+                + "]}\n";
     }
 
     private static String member(String id, String address, String phase, long startedMs) {
--- a/sidecar/src/main/java/gradehub/node/TrainingSession.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingSession.java
@@ -23,7 +23,8 @@
 
     /** How a sidecar comes by the list of upstreams. */
     enum Membership {
-        PUSH, ASK
+        PUSH,
+        ASK
     }
 
     private static final String CONFIG = """
@@ -76,7 +77,8 @@
     }
 
     private void writeConfig(String discovery) throws IOException {
-        Files.writeString(config, CONFIG.formatted(address(), discovery, membership.name().toLowerCase(Locale.ROOT)));
+        Files.writeString(
+                config, CONFIG.formatted(address(), discovery, membership.name().toLowerCase(Locale.ROOT)));
     }
 
     /** Waits until the sidecar says that it is ready. */
@@ -120,7 +122,9 @@
 
     /** Sends a process a signal of this name. */
     static void signal(long pid, String name) throws IOException, InterruptedException {
-        int status = new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid).start().waitFor();
+        int status = new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid)
+                .start()
+                .waitFor();
         if (status != 0) {
             throw new IOException("can't send signal " + name);
         }
--- a/sidecar/src/main/java/gradehub/node/TrainingTraffic.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingTraffic.java
@@ -1,5 +1,6 @@
 package gradehub.node;
 
+import gradehub.node.TrainingPeers.Reaction;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -14,18 +15,25 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import gradehub.node.TrainingPeers.Reaction;
-
 /** The clients of a training run: good, bad, slow, impatient and many at once. */
 final class TrainingTraffic {
 
     /** Enough at once to fill the windows of all upstreams and all that clients may hold. */
     private static final int CROWD = 90;
+
     private static final int SERVED_ONE_BY_ONE = 60;
     private static final List<String> CLASSES = List.of("read", "write", "keyed", "zoned", "celled");
-    private static final List<String> BAD_HEADERS = List.of("Content-Length: 9", "Transfer-Encoding: gzip",
-            "Transfer-Encoding: chunked", "Transfer-Encoding : chunked", "no colon", "X-Lane: read",
-            "Expect: a miracle", "X-Estimate: -5", "X-Estimate: ten", "Content-Length: -4");
+    private static final List<String> BAD_HEADERS = List.of(
+            "Content-Length: 9",
+            "Transfer-Encoding: gzip",
+            "Transfer-Encoding: chunked",
+            "Transfer-Encoding : chunked",
+            "no colon",
+            "X-Lane: read",
+            "Expect: a miracle",
+            "X-Estimate: -5",
+            "X-Estimate: ten",
+            "Content-Length: -4");
 
     private final InetSocketAddress sidecar;
     private final AtomicInteger lastId = new AtomicInteger();
@@ -113,9 +121,11 @@
         all.add(exchange(request("read", Reaction.SILENT, "").replace("Ms: 2000", "Ms: 200")));
         all.add(exchange(request("write", Reaction.SERVE, "Expect: 100-continue\r\n")));
         all.add(exchange(request("write", Reaction.SERVE, "").replace("Length: 4", "Length: 60000000")));
-        all.add(exchange(request("write", Reaction.SERVE, "").replace("Content-Length: 4", "Transfer-Encoding: chunked")
+        all.add(exchange(request("write", Reaction.SERVE, "")
+                .replace("Content-Length: 4", "Transfer-Encoding: chunked")
                 .replace("body", "4\r\nbody\r\n0\r\n\r\n")));
-        all.add(exchange(request("write", Reaction.SERVE, "").replace("Content-Length: 4", "Transfer-Encoding: chunked")
+        all.add(exchange(request("write", Reaction.SERVE, "")
+                .replace("Content-Length: 4", "Transfer-Encoding: chunked")
                 .replace("body", "11000\r\n" + "b".repeat(0x11000) + "\r\n")));
         all.add(exchange("GET /read HTTP/1.1\r\n" + "X-Pad: pppppppp\r\n".repeat(1000) + "\r\n"));
         all.add(exchange("GET /" + "x".repeat(10_000) + " HTTP/1.1\r\n\r\n"));
@@ -179,7 +189,8 @@
 
     private String request(String requestClass, Reaction reaction, String headers) {
         String head = " /" + requestClass + "/" + reaction + " HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: "
-                + id(lastId.incrementAndGet()) + "\r\nX-Lane: " + requestClass + "\r\nX-Remaining-Ms: 2000\r\n" + headers;
+                + id(lastId.incrementAndGet()) + "\r\nX-Lane: " + requestClass + "\r\nX-Remaining-Ms: 2000\r\n"
+                + headers;
         boolean safe = requestClass.equals("read");
         String key = requestClass.equals("write") ? "" : "Idempotency-Key: " + lastId + "\r\n";
         return safe ? "GET" + head + "\r\n" : "POST" + head + key + "Content-Length: 4\r\n\r\nbody";
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -1,10 +1,7 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
+import gradehub.Balancer.Outcome;
+import gradehub.node.Upstreams.Attempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -31,9 +28,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-
-import gradehub.Balancer.Outcome;
-import gradehub.node.Upstreams.Attempt;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to an upstream. It carries one attempt at a time, and is used again only where an answer left
@@ -45,8 +43,8 @@
     private static final String TURNED_AWAY = "X-Turned-Away";
     private static final String LOAD_REPORT = "X-Pressure";
     /** They speak of this upstream at this time, not of the request. */
-    private static final Set<HttpResponseStatus> PASSING = Set.of(HttpResponseStatus.REQUEST_TIMEOUT,
-            HttpResponseStatus.TOO_MANY_REQUESTS);
+    private static final Set<HttpResponseStatus> PASSING =
+            Set.of(HttpResponseStatus.REQUEST_TIMEOUT, HttpResponseStatus.TOO_MANY_REQUESTS);
     /** 1xx answers that are skipped ahead of one. */
     private static final int MOST_INTERIM = 16;
     /** From the first byte of an answer to its last: one that stops in between is spoilt. */
@@ -61,9 +59,11 @@
     private Attempt attempt;
     /** Whether the first byte of the attempt may be out. */
     private boolean writing;
+
     private boolean retired;
     /** What came for the attempt: told at the end of the read, when it is known what follows. */
     private Outcome outcome;
+
     private double[] report;
     private Answer answer;
     private boolean reusable;
@@ -77,7 +77,9 @@
     }
 
     void open(EventLoop loop, InetSocketAddress address, int timeoutMs) {
-        ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channelFactory(() -> channel)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
@@ -86,7 +88,8 @@
                     protected void initChannel(SocketChannel made) {
                         made.pipeline().addLast(decoder, new HttpRequestEncoder(), joining(), UpstreamConnection.this);
                     }
-                }).connect(address);
+                })
+                .connect(address);
         channel.closeFuture().addListener(closed -> closed());
         connecting.addListener(connected -> {
             if (!connected.isSuccess()) {
@@ -132,8 +135,12 @@
 
     private FullHttpRequest message(Attempt carried) {
         ClientRequest request = carried.exchange.request();
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()), request.headers().copy(),
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                request.headers().copy(),
                 DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
         double leftMs = carried.capMs - (upstreams.nowMs() - carried.sentMs);
         message.headers().set(ClientRequest.REMAINING, (long) Math.max(1, leftMs));
@@ -147,7 +154,8 @@
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
         decoder.completed();
         boolean skipped = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && response.decoderResult().isSuccess() && interim++ < MOST_INTERIM;
+                && response.decoderResult().isSuccess()
+                && interim++ < MOST_INTERIM;
         if (attempt == null || outcome != null) {
             spoil(); // nobody asked for it
         } else if (!skipped) {
@@ -160,7 +168,9 @@
             close(); // in its head
             return;
         }
-        if (response.decoderResult().isFailure() || !attempt.written || isCoded(response)
+        if (response.decoderResult().isFailure()
+                || !attempt.written
+                || isCoded(response)
                 || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             spoil();
             return;
@@ -168,8 +178,13 @@
         reusable = HttpUtil.isKeepAlive(response) && !channel.isInputShutdown();
         outcome = outcome(response);
         report = upstreams.reports().read(response.headers().get(LOAD_REPORT));
-        answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? new Answer(response.status().code(), 0,
-                response.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(response.content())) : null;
+        answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED
+                ? new Answer(
+                        response.status().code(),
+                        0,
+                        response.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                        ByteBufUtil.getBytes(response.content()))
+                : null;
     }
 
     /** Whether its body is in a transfer coding other than chunked, which has been undone by now. */
@@ -196,7 +211,7 @@
         }
         boolean turnedAway = "1".equals(response.headers().get(TURNED_AWAY))
                 && (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT));
+                        || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT));
         return turnedAway ? Outcome.REJECTED : Outcome.ERROR;
     }
 
@@ -225,13 +240,17 @@
 
     /** The clock alone does not tell: what came in time may lie unread. A timer set now fires behind the next read. */
     private void spoilLater(Attempt begun, int reads, long delayMs) {
-        channel.eventLoop().schedule(() -> {
-            if (begun == attempt && reads > 0) {
-                spoilLater(begun, reads - 1, 0);
-            } else if (begun == attempt) {
-                spoil();
-            }
-        }, delayMs, TimeUnit.MILLISECONDS);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (begun == attempt && reads > 0) {
+                                spoilLater(begun, reads - 1, 0);
+                            } else if (begun == attempt) {
+                                spoil();
+                            }
+                        },
+                        delayMs,
+                        TimeUnit.MILLISECONDS);
     }
 
     // ---- Its end.
--- a/sidecar/src/test/java/gradehub/AdmissionControlTest.java
+++ b/sidecar/src/test/java/gradehub/AdmissionControlTest.java
@@ -6,14 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
 import gradehub.Balancer.Group;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 class AdmissionControlTest {
 
@@ -116,7 +114,10 @@
         }
         admission.displaced(call(dear, 2, 0), 100, List.of());
         admission.tick(actions);
-        assertEquals(List.of("clients run out of connections: refusing what is worth least for its time",
-                "clients have connections left again"), logs);
+        assertEquals(
+                List.of(
+                        "clients run out of connections: refusing what is worth least for its time",
+                        "clients have connections left again"),
+                logs);
     }
 }
--- a/sidecar/src/test/java/gradehub/ClassStatsTest.java
+++ b/sidecar/src/test/java/gradehub/ClassStatsTest.java
@@ -3,12 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Random;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
 
 class ClassStatsTest {
 
@@ -16,8 +14,7 @@
     private static final double FORGET = 0.005;
     private static final double FORGET_STARVED = 0.05;
 
-    private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-            Samples.TICK_MS);
+    private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.TICK_MS);
 
     private double elapsedMs(double nowMs, double timeoutMs, boolean repeat, boolean repeatsMarked) {
         return stats.elapsedMs(nowMs, new Balancer.Request(1, 0, 0, timeoutMs, repeat, 0), repeatsMarked);
--- a/sidecar/src/test/java/gradehub/IdleActions.java
+++ b/sidecar/src/test/java/gradehub/IdleActions.java
@@ -4,42 +4,32 @@
 class IdleActions implements Balancer.Actions {
 
     @Override
-    public void send(int request, int upstream, double timeoutMs) {
-    }
+    public void send(int request, int upstream, double timeoutMs) {}
 
     @Override
-    public void refuse(int request, double retryAfterMs) {
-    }
+    public void refuse(int request, double retryAfterMs) {}
 
     @Override
-    public void fail(int request) {
-    }
+    public void fail(int request) {}
 
     @Override
-    public void cancel(int request, int attempt) {
-    }
+    public void cancel(int request, int attempt) {}
 
     @Override
-    public void probe(int upstream) {
-    }
+    public void probe(int upstream) {}
 
     @Override
-    public void timer(double delayMs, int token) {
-    }
+    public void timer(double delayMs, int token) {}
 
     @Override
-    public void subscribe(boolean on) {
-    }
+    public void subscribe(boolean on) {}
 
     @Override
-    public void fetchList() {
-    }
+    public void fetchList() {}
 
     @Override
-    public void closeIdle(int upstream) {
-    }
+    public void closeIdle(int upstream) {}
 
     @Override
-    public void log(String line) {
-    }
+    public void log(String line) {}
 }
--- a/sidecar/src/test/java/gradehub/LoadSharesTest.java
+++ b/sidecar/src/test/java/gradehub/LoadSharesTest.java
@@ -3,13 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
 import gradehub.Balancer.Status;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 class LoadSharesTest {
 
--- a/sidecar/src/test/java/gradehub/LoadShedderTest.java
+++ b/sidecar/src/test/java/gradehub/LoadShedderTest.java
@@ -4,21 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
-import gradehub.Balancer.Effect;
-import gradehub.Balancer.Group;
-
 class LoadShedderTest {
 
     private static final double CONTROL_MS = 60;
 
     private final LoadShedder shedder = new LoadShedder();
-    private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-            Samples.TICK_MS);
+    private final ClassStats stats = new ClassStats(Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.TICK_MS);
     private final List<String> logs = new ArrayList<>();
     private final IdleActions actions = new IdleActions() {
         @Override
@@ -28,8 +25,8 @@
     };
 
     private Call waits(int order, double value, double usefulUntilMs) {
-        Call call = new Call(new Balancer.Request(order, 0, 0, 4000, false, 0), stats, value, order, usefulUntilMs,
-                usefulUntilMs);
+        Call call = new Call(
+                new Balancer.Request(order, 0, 0, 4000, false, 0), stats, value, order, usefulUntilMs, usefulUntilMs);
         shedder.waiting.add(call);
         return call;
     }
--- a/sidecar/src/test/java/gradehub/OutlierEjectionTest.java
+++ b/sidecar/src/test/java/gradehub/OutlierEjectionTest.java
@@ -4,14 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
 import gradehub.Balancer.Status;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 class OutlierEjectionTest {
 
@@ -77,8 +75,12 @@
         assertFalse(ejection.excludes(0, upstream, writes));
         ejection.served(upstream, reads);
         assertFalse(ejection.excludes(0, upstream, reads));
-        assertEquals(List.of("upstream 3 is set aside for class alone, which it failed 3 times in a row; trying it"
-                + " now and then", "upstream 3 serves class again"), logs);
+        assertEquals(
+                List.of(
+                        "upstream 3 is set aside for class alone, which it failed 3 times in a row; trying it"
+                                + " now and then",
+                        "upstream 3 serves class again"),
+                logs);
     }
 
     @Test
@@ -104,8 +106,11 @@
         ejection.answered(3, upstream, 4);
         assertEquals(0.01, upstream.share); // it was not ejected any more
         assertFalse(ejection.excludes(3, upstream, reads));
-        assertEquals(List.of("upstream 3 is set aside, for the test; trying it now and then",
-                "upstream 3 answers again and is back in the draw"), logs);
+        assertEquals(
+                List.of(
+                        "upstream 3 is set aside, for the test; trying it now and then",
+                        "upstream 3 answers again and is back in the draw"),
+                logs);
     }
 
     @Test
--- a/sidecar/src/test/java/gradehub/RetryPolicyTest.java
+++ b/sidecar/src/test/java/gradehub/RetryPolicyTest.java
@@ -4,12 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
 import gradehub.Balancer.Outcome;
 import gradehub.Balancer.Status;
+import org.junit.jupiter.api.Test;
 
 class RetryPolicyTest {
 
@@ -27,8 +26,7 @@
     private static Call call(Effect effect, Group group) {
         ClassStats stats = new ClassStats(Samples.requestClass(effect, group, 1), Samples.TICK_MS);
         stats.typicalMs = TYPICAL_MS;
-        return new Call(new Balancer.Request(1, 0, 0, 4000, false, 0), stats, 1, 0, USEFUL_UNTIL_MS,
-                USEFUL_UNTIL_MS);
+        return new Call(new Balancer.Request(1, 0, 0, 4000, false, 0), stats, 1, 0, USEFUL_UNTIL_MS, USEFUL_UNTIL_MS);
     }
 
     /** A call with one attempt that has ended so, or is in flight for null. */
@@ -102,7 +100,9 @@
     @Test
     void anUnsafeRequestIsSentAgainOnlyIfItIsKnownNotToHaveRun() {
         for (Outcome outcome : Outcome.values()) {
-            assertEquals(outcome.provesNotRun(), retries.allows(0, sent(Effect.UNSAFE, Group.ALL, outcome), 3),
+            assertEquals(
+                    outcome.provesNotRun(),
+                    retries.allows(0, sent(Effect.UNSAFE, Group.ALL, outcome), 3),
                     outcome.name());
         }
         assertFalse(retries.allows(0, sent(Effect.UNSAFE, Group.ALL, null), 3));
--- a/sidecar/src/test/java/gradehub/SlowStartTest.java
+++ b/sidecar/src/test/java/gradehub/SlowStartTest.java
@@ -4,10 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Contract;
 import gradehub.Balancer.Status;
+import org.junit.jupiter.api.Test;
 
 class SlowStartTest {
 
--- a/sidecar/src/test/java/gradehub/UpstreamListTest.java
+++ b/sidecar/src/test/java/gradehub/UpstreamListTest.java
@@ -7,16 +7,14 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
-import gradehub.Balancer.ListKind;
-import gradehub.Balancer.Status;
-import gradehub.Balancer.Upstream;
-
 class UpstreamListTest {
 
     private static final double EXACT = 1e-9;
--- a/sidecar/src/test/java/gradehub/node/CloseDelimitedAnswerTest.java
+++ b/sidecar/src/test/java/gradehub/node/CloseDelimitedAnswerTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
@@ -13,12 +17,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -162,9 +160,11 @@
     /** Looks, on the event loop, until the end of the upstream's connection has been seen. */
     private void lookForTheEnd() {
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
-        LookingChannel channel = opened.stream().filter(LookingChannel::isActive)
+        LookingChannel channel = opened.stream()
+                .filter(LookingChannel::isActive)
                 .filter(active -> active.remoteAddress().getPort() == upstream.getLocalPort())
-                .findFirst().orElseThrow();
+                .findFirst()
+                .orElseThrow();
         while (!channel.hasEnded()) {
             assertTrue(System.nanoTime() < untilNanos, "it never ended");
         }
@@ -205,12 +205,14 @@
 
     /** What is not delimited by the close is cut short by one. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "",
-        "HTTP/1.1 200 OK\r\nX-Pa",
-        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nall of it",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
-        "HTTP/1.1 100 Continue\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 200 OK\r\nX-Pa",
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nall of it",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n"
+            })
     void aCloseEndsNoOtherAnswer(String part) throws Throwable {
         for (int held = 0; held < 2; held++) {
             try (Wire client = rig.client()) {
@@ -282,7 +284,8 @@
     @ValueSource(strings = {"", "it"})
     void anAnswerThatHasEndedInTimeIsNotGivenUp(String unread) throws Throwable {
         HoldBehindFirstRead hold = new HoldBehindFirstRead();
-        try (Rig held = new Rig(); ServerSocket listener = held.listener()) {
+        try (Rig held = new Rig();
+                ServerSocket listener = held.listener()) {
             held.start(Rig.list(1, true, Rig.member("u1", Rig.address(listener), "active")), () -> with(hold));
             try (Wire client = held.client()) {
                 client.send(Rig.post(Rig.id(1), "x"));
--- a/sidecar/src/test/java/gradehub/node/FailedWriteTest.java
+++ b/sidecar/src/test/java/gradehub/node/FailedWriteTest.java
@@ -2,11 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,7 +11,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.ReferenceCountUtil;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -66,10 +64,13 @@
         try (Rig rig = new Rig()) {
             Config config = Config.of(rig.config(null));
             SocketBudget sockets = new SocketBudget(DESCRIPTORS);
-            ClientServer server = new ClientServer(loops.next(), clock, config.settings(), null, sockets,
-                    () -> checks.incrementAndGet() == 1);
-            Channel listener = server.bind(config.listen()).syncUninterruptibly().channel();
-            loops.next().submit(() -> listener.pipeline().addFirst(new Accepting())).syncUninterruptibly();
+            ClientServer server = new ClientServer(
+                    loops.next(), clock, config.settings(), null, sockets, () -> checks.incrementAndGet() == 1);
+            Channel listener =
+                    server.bind(config.listen()).syncUninterruptibly().channel();
+            loops.next()
+                    .submit(() -> listener.pipeline().addFirst(new Accepting()))
+                    .syncUninterruptibly();
             try (Wire client = Wire.to((InetSocketAddress) listener.localAddress())) {
                 client.send(READY + READY);
                 assertThrows(IOException.class, client::read);
--- a/sidecar/src/test/java/gradehub/node/ServedClassesIT.java
+++ b/sidecar/src/test/java/gradehub/node/ServedClassesIT.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.node.TrainingSession.Membership;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,13 +12,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-import gradehub.node.TrainingSession.Membership;
-
 /**
  * The packaged sidecar, started as the deploy file says, with its clients, upstreams and discovery in trouble. What it
  * loads from the jar or generates while it serves stands in the way of requests on its event loop.
@@ -37,7 +35,10 @@
     void eachClassThatIsLoadedAfterReadinessComesFromTheArchive(Membership membership) throws Exception {
         List<String> loaded = loadedWhileServing(membership);
         assertTrue(loaded.size() > 0, "classes are logged");
-        assertEquals("", String.join("\n", loaded.stream().filter(line -> !isArchived(line)).toList()));
+        assertEquals(
+                "",
+                String.join(
+                        "\n", loaded.stream().filter(line -> !isArchived(line)).toList()));
     }
 
     private static boolean isArchived(String line) {
--- a/sidecar/src/test/java/gradehub/node/StartCollectionIT.java
+++ b/sidecar/src/test/java/gradehub/node/StartCollectionIT.java
@@ -2,15 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gradehub.node.TrainingSession.Membership;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import gradehub.node.TrainingSession.Membership;
-
 /** Collections of the packaged sidecar's heap: each stands in the way of the requests that come meanwhile. */
 class StartCollectionIT {
 
