Count the time for which a request waited unread against its deadline

The request lay unread for up to 738 ms of its 268, was given 268 ms more from when it was read, and answered after all its time and the half second that is allowed. Ruled out for this one: collections (0 ms), classes (7), a task of the loop. At fault: Engine.request, which counts from the read; ClientListener, which accepts one client in a turn, so that those behind it are read in later turns, when nothing tells any more that they have waited.

Change: a periodic task of the loop tells by how much the loop is late (EventLoopLag). What is read then counts as come at the beginning of the stall, to within the task's period of 50 ms: its deadline and all that is told and waited by it follow. All clients that wait are accepted in one turn, as far as there is room, and the first request of each counts from the same time. What is over when it is read is refused at once.

Measured: LateReadTest holds the loop.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -49,6 +49,8 @@
     private double sendsSinceMs;
     private double writesSinceMs;
     private double drainsSinceMs;
+    private double openedMs;
+    private double openedLagMs;
     private int writing;
     private int drained;
     private boolean silent = true;
@@ -118,7 +120,9 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        sendsSinceMs = server.nowMs();
+        openedMs = server.nowMs();
+        openedLagMs = server.lagMs();
+        sendsSinceMs = openedMs;
         server.keeper().opened(this);
     }
 
@@ -178,11 +182,21 @@
         }
     }
 
+    /**
+     * How long the request that has just been read may have waited. The first one of a client that was accepted late may
+     * have come before that; it is taken for such a one for as long as the lag has lasted.
+     */
+    private double unreadMs() {
+        double sinceOpenedMs = server.nowMs() - openedMs;
+        boolean mayHaveWaited = !answered && owed.size() == 1 && sinceOpenedMs < openedLagMs;
+        return Math.max(server.lagMs(), mayHaveWaited ? openedLagMs + sinceOpenedMs : 0);
+    }
+
     private void take(FullHttpRequest message, Owed next) {
         try {
             ClientRequest request = server.read(message);
             next.id = request.id();
-            next.exchange = server.take(request, next);
+            next.exchange = server.take(request, unreadMs(), next);
         } catch (RejectedException e) {
             // Else a client could have the event loop answer all that it sends, thousands of requests in a row.
             deaf = true;
--- a/sidecar/src/main/java/gradehub/node/ClientKeeper.java
+++ b/sidecar/src/main/java/gradehub/node/ClientKeeper.java
@@ -16,17 +16,17 @@
     /** Of what clients may hold, kept free for those that come. */
     private static final int SPARE = 32;
 
-    private static final long LOOK_MS = 50;
-
     private final Clock clock;
+    private final EventLoopLag lag;
     private final SocketBudget sockets;
     /** The longest unused first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-    ClientKeeper(EventLoop loop, Clock clock, SocketBudget sockets) {
+    ClientKeeper(EventLoop loop, Clock clock, EventLoopLag lag, SocketBudget sockets) {
         this.clock = clock;
+        this.lag = lag;
         this.sockets = sockets;
-        loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::look, EventLoopLag.PERIOD_MS, EventLoopLag.PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
     void opened(ClientConnection connection) {
@@ -66,6 +66,7 @@
 
     /** Ends what is overdue. */
     void look() {
+        lag.beat();
         double nowMs = clock.nowMs();
         all().forEach(connection -> connection.endIfOverdue(nowMs));
         makeRoom();
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -31,6 +31,7 @@
     private final SocketBudget sockets;
     private final BooleanSupplier hasList;
     private final ClientKeeper keeper;
+    private final EventLoopLag lag;
     /** The identifiers of the requests that have no answer yet. */
     private final Set<String> ids = new HashSet<>();
 
@@ -51,14 +52,15 @@
         this.engine = engine;
         this.sockets = sockets;
         this.hasList = hasList;
-        keeper = new ClientKeeper(loop, clock, sockets);
+        lag = new EventLoopLag(loop, clock);
+        keeper = new ClientKeeper(loop, clock, lag, sockets);
         sockets.whenChanged(this::acceptWhileThereIsRoom);
     }
 
     ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(ClientListener::new)
+                .channelFactory(() -> new ClientListener(sockets::roomForClients))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, oneAtATime())
@@ -152,8 +154,14 @@
         return request;
     }
 
-    Engine.Exchange take(ClientRequest request, Engine.Client client) {
-        return engine.request(request, client);
+    /** How long input that is read now may have waited for the event loop. */
+    double lagMs() {
+        return lag.lagMs();
+    }
+
+    /** Takes a request that may have waited for this long before it was read. */
+    Engine.Exchange take(ClientRequest request, double unreadMs, Engine.Client client) {
+        return engine.request(request, unreadMs, client);
     }
 
     void left(Engine.Exchange exchange) {
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -131,11 +131,13 @@
 
     // ---- What happens: told to the module in the order in which it happened.
 
-    Exchange request(ClientRequest request, Client client) {
-        Exchange exchange = new Exchange(++lastRequest, request, client, clock.nowMs() + request.remainingMs());
+    /** A request that may have waited for {@code unreadMs} before it was read: its client counts that as well. */
+    Exchange request(ClientRequest request, double unreadMs, Client client) {
+        double remainingMs = Math.max(0, request.remainingMs() - unreadMs);
+        Exchange exchange = new Exchange(++lastRequest, request, client, clock.nowMs() + remainingMs);
         exchanges.put(exchange.id, exchange);
         // The module answers before the deadline. Should it ever not, the client still gets its one answer.
-        exchange.overdue = schedule(request.remainingMs() + slackMs / 2, () -> {
+        exchange.overdue = schedule(remainingMs + slackMs / 2, () -> {
             LOG.log(System.Logger.Level.WARNING, "a request was left unanswered up to its deadline");
             abandon(exchange);
         });
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -130,6 +130,11 @@
         return clients.open();
     }
 
+    /** How late the event loop runs, by what its clients wait. */
+    double lagMs() {
+        return clients.lagMs();
+    }
+
     SocketAddress address() {
         return address;
     }
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -57,7 +57,7 @@
                 "/event-submit",
                 new DefaultHttpHeaders(),
                 new byte[0]);
-        loop.execute(() -> engine.request(request, new Engine.Client() {
+        loop.execute(() -> engine.request(request, 0, new Engine.Client() {
             @Override
             public void answer(Answer given) {
                 assertTrue(answer.complete(given), "answered once");
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/LateReadTest.java
@@ -0,0 +1,124 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests that come while the event loop stands still: the time that they wait unread is the client's time. */
+class LateReadTest {
+
+    private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
+    private static final int STALL_MS = 1700;
+    private static final int SHORT_MS = 1500; // over by the end of the stall; enough to be sent on if it were not
+    private static final int LONG_MS = 10_000; // under the aim of the class, which bounds it as well
+
+    private Rig rig;
+    private ServerSocket upstream;
+
+    @BeforeEach
+    void open() throws Exception {
+        rig = new Rig();
+        upstream = rig.listener();
+        rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active")));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        rig.close();
+    }
+
+    private static String request(int number, int remainingMs) {
+        return Rig.post(Rig.id(number), "x").replaceAll("X-Remaining-Ms: \\d+", "X-Remaining-Ms: " + remainingMs);
+    }
+
+    private static void stall() {
+        long startNanos = System.nanoTime();
+        while (System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(STALL_MS)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The first that the upstream sees comes behind the ones that were over. */
+    private void assertNoneIsSentOn() throws Exception {
+        try (Wire later = rig.client()) {
+            later.send(request(99, LONG_MS));
+            assertEquals(Rig.id(99), Rig.accept(upstream).read().header("X-Txn"));
+        }
+    }
+
+    @Test
+    void aRequestWhoseTimeIsOverWhenItIsReadIsRefusedAtOnce() throws Throwable {
+        try (Wire client = rig.client()) {
+            client.send(READY).read();
+            rig.whileHeld(() -> {
+                client.send(request(1, SHORT_MS));
+                stall();
+            });
+            assertEquals(503, client.read().status());
+        }
+        assertNoneIsSentOn();
+    }
+
+    /** The periodic task runs behind the one that stalled, and only then the sockets are read. */
+    @Test
+    void theLagIsRememberedUntilTheSocketsHaveBeenRead() throws Throwable {
+        try (Wire client = rig.client()) {
+            client.send(READY).read();
+            rig.whileHeld(() -> {
+                rig.sidecar().loop().execute(rig.sidecar()::lookAtClients);
+                client.send(request(1, SHORT_MS));
+                stall();
+            });
+            assertEquals(503, client.read().status());
+        }
+        assertNoneIsSentOn();
+    }
+
+    @Test
+    void theWaitToBeAcceptedCountsForEachOfManyClients() throws Throwable {
+        List<Wire> clients = new ArrayList<>();
+        rig.whileHeld(() -> {
+            for (int i = 0; i < 10; i++) {
+                clients.add(rig.client().send(request(i, SHORT_MS)));
+            }
+            stall();
+        });
+        for (Wire client : clients) {
+            assertEquals(503, client.read().status());
+            client.close();
+        }
+        assertNoneIsSentOn();
+    }
+
+    @Test
+    void anUpstreamIsToldWhatIsLeftToTheClient() throws Throwable {
+        try (Wire client = rig.client()) {
+            client.send(READY).read();
+            rig.whileHeld(() -> {
+                client.send(request(1, LONG_MS));
+                stall();
+            });
+            int toldMs = Integer.parseInt(Rig.accept(upstream).read().header("X-Remaining-Ms"));
+            assertTrue(toldMs <= LONG_MS - SHORT_MS, "told " + toldMs + " ms");
+        }
+    }
+
+    /** Once the sockets have been read a lag is over: what comes later has not waited. */
+    @Test
+    void whatComesAfterAStallHasItsWholeTime() throws Throwable {
+        rig.whileHeld(LateReadTest::stall);
+        rig.await(() -> rig.sidecar().lagMs() == 0);
+        try (Wire client = rig.client()) {
+            client.send(request(1, LONG_MS));
+            int toldMs = Integer.parseInt(Rig.accept(upstream).read().header("X-Remaining-Ms"));
+            assertTrue(toldMs > LONG_MS - SHORT_MS, "told " + toldMs + " ms");
+        }
+    }
+}
