--- a/sidecar/src/test/java/gradehub/RepositoryTest.java
+++ b/sidecar/src/test/java/gradehub/RepositoryTest.java
@@ -30,7 +30,8 @@
 
     private static final Path MODULE = ROOT.resolve("sidecar/src/main/java/gradehub");
     /** Shared with the network code and the adapter: they decide nothing. */
-    private static final Set<String> NOT_POLICY = Set.of("Balancer.java", "Main.java", "SettingsReader.java");
+    private static final Set<String> NOT_POLICY =
+            Set.of("Balancer.java", "Main.java", "SettingsReader.java", "package-info.java");
 
     @Test
     void theModuleStaysWithinItsLimits() throws IOException {
@@ -60,6 +61,14 @@
         }
     }
 
+    /** It may lie outside the policy files only as long as it declares no type. */
+    @Test
+    void theDescriptionOfThePackageHoldsNoCode() throws IOException {
+        String description = Files.readString(MODULE.resolve("package-info.java"));
+        String code = description.replaceAll("(?s)/\\*.*?\\*/", "").strip();
+        assertEquals("package gradehub;", code);
+    }
+
     private static List<Path> policy() throws IOException {
         Matcher list = Pattern.compile("^policy = \\[(.*)]$", Pattern.MULTILINE)
                 .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
