Document the public methods that had no comment

Eleven public items of main sources had none: the constructors of the records in Balancer, BenchLink with its factory, and Main.main. Comments alone; no code changes.

--- a/sidecar/src/main/java/gradehub/Balancer.java
+++ b/sidecar/src/main/java/gradehub/Balancer.java
@@ -146,6 +146,7 @@
 
     /** One upstream as discovery lists it; {@code startedMs} 0 means long ago. */
     record Upstream(int id, Status status, double startedMs, int zone, int kind, int cell, double weight) {
+        /** Rejects a missing status and a negative weight. */
         public Upstream {
             Objects.requireNonNull(status, "status");
             require(weight >= 0, "weight of an upstream must not be negative");
@@ -157,6 +158,7 @@
      * hint of its work as time on a standard core, 0 where there is none.
      */
     record Request(int id, int requestClass, int tenant, double timeoutMs, boolean repeat, double costMs) {
+        /** Rejects a timeout that is not a number and a negative cost hint. */
         public Request {
             require(!Double.isNaN(timeoutMs), "time-out of a request must be a number");
             require(costMs >= 0, "cost hint of a request must not be negative");
@@ -172,6 +174,7 @@
             double elapsedMs,
             boolean requestDone,
             double[] report) {
+        /** Rejects a missing outcome or report. */
         public AttemptEnd {
             Objects.requireNonNull(outcome, "outcome");
             Objects.requireNonNull(report, "report");
@@ -189,6 +192,7 @@
             Group group,
             double windowMs,
             boolean streamed) {
+        /** Rejects missing values, times that are not positive and negative worths. */
         public RequestClass {
             Objects.requireNonNull(effect, "effect");
             Objects.requireNonNull(group, "group");
@@ -199,6 +203,7 @@
 
     /** Who shares the service, and up to which rate over all sidecars at full worth. */
     record Tenant(String name, double portion, double quotaPerS) {
+        /** Rejects a negative portion or quota. */
         public Tenant {
             require(portion >= 0 && quotaPerS >= 0, "share of a tenant must not be negative");
         }
@@ -206,6 +211,7 @@
 
     /** What the sidecar is allowed. */
     record Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes, double maxRetryAfterMs) {
+        /** Rejects a limit below one attempt. */
         public Limits {
             require(maxAttempts >= 1, "at least one attempt must be allowed");
         }
@@ -213,6 +219,7 @@
 
     /** How fast a started upstream becomes able, and how often an unsubscribed sidecar must ask for the list. */
     record Contract(double coldFrom, double coldMs, double overloadFactor, double overloadMs, double askEveryMs) {
+        /** Rejects a cold share outside (0, 1], negative times and factors that are not positive. */
         public Contract {
             require(coldFrom > 0 && coldFrom <= 1, "cold share must be above 0 and at most 1");
             require(coldMs >= 0 && overloadMs >= 0, "times of the contract must not be negative");
@@ -237,6 +244,7 @@
             Limits limits,
             Contract contract,
             Goal goal) {
+        /** Copies the lists; rejects missing values, an empty list of classes and a fleet without sidecars. */
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
--- a/sidecar/src/main/java/gradehub/Main.java
+++ b/sidecar/src/main/java/gradehub/Main.java
@@ -21,6 +21,7 @@
 
     private Main() {}
 
+    /** Runs the command that the only argument names; ends with status 2 for any other arguments. */
     public static void main(String[] args) throws Exception {
         // Before Netty is loaded: it would set them up on the event loop, at the first chunk that it lets go.
         System.setProperty(NETTY_RECORDER_EVENTS, "false");
--- a/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
+++ b/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
@@ -23,6 +23,7 @@
 
     /** Makes the balancer of one instance. */
     public interface Factory {
+        /** Creates a balancer that draws its random numbers from the seed and calls the given actions. */
         Balancer create(Settings settings, long seed, Balancer.Actions actions);
     }
 
@@ -45,6 +46,7 @@
 
     private final List<List<Upstream>> banks = new ArrayList<>();
 
+    /** Creates an adapter that reads batches from {@code in} and writes replies to {@code out}. */
     public BenchLink(Factory factory, InputStream in, OutputStream out) {
         this.factory = factory;
         this.batch = new Batch(in);
