--- a/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
+++ b/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
@@ -97,91 +97,108 @@
         double now = batch.nowMs();
         Balancer balancer = balancers.get(instance);
         switch (code) {
-            case 1 -> {
-                long seed = batch.u64();
-                Settings settings = settings(batch.text(batch.count(1)));
-                classes.put(instance, settings.classes().size());
-                guarded(instance, () -> {
-                    Balancer fresh = factory.create(settings, seed, reply.actionsOf(instance));
-                    balancers.put(instance, fresh);
-                    fresh.start(now);
-                });
-            }
-            case 2 -> {
-                ListKind kind = pick(LIST_KINDS, batch.u8(), "list kind");
-                batch.u32();
-                int bank = batch.u8();
-                if (kind != ListKind.FAILED && bank >= BANKS) {
-                    throw new MalformedFrameException("list number " + bank + " is not below " + BANKS);
-                }
-                List<Upstream> entries = kind == ListKind.FAILED ? List.of() : banks.get(bank);
-                tell(instance, balancer, () -> balancer.upstreams(now, kind, entries));
-            }
-            case 3 -> {
-                int id = batch.u32();
-                int flags = batch.u8();
-                batch.u64();
-                int requestClass = batch.u16();
-                if (balancer != null && requestClass >= classes.get(instance)) {
-                    throw new MalformedFrameException("unknown class " + requestClass);
-                }
-                double timeoutMs = batch.f64();
-                int tenant = batch.u32();
-                double hintMs = batch.f64();
-                double costMs = (flags & HINT_FLAG) != 0 && hintMs > 0 ? hintMs : 0;
-                tell(
-                        instance,
-                        balancer,
-                        () -> balancer.request(
-                                now,
-                                new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, costMs)));
-            }
-            case 4 -> {
-                int id = batch.u32();
-                batch.u32();
-                int attempt = batch.u8();
-                double elapsedMs = batch.f64();
-                tell(instance, balancer, () -> balancer.streamStarted(now, id, attempt, elapsedMs));
-            }
-            case 5 -> {
-                int id = batch.u32();
-                double elapsedMs = batch.f64();
-                boolean done = batch.u8() != 0;
-                int upstream = batch.u32();
-                int attempt = batch.u8();
-                Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
-                double[] report = report();
-                tell(
-                        instance,
-                        balancer,
-                        () -> balancer.attemptEnded(
-                                now, new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
-            }
-            case 6 -> {
-                int id = batch.u32();
-                tell(instance, balancer, () -> balancer.clientLeft(now, id));
-            }
-            case 7 -> {
-                int token = batch.u32();
-                tell(instance, balancer, () -> balancer.timer(now, token));
-            }
-            case 8 -> {
-                int upstream = batch.u32();
-                Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
-                double elapsedMs = batch.f64();
-                double[] report = report();
-                tell(instance, balancer, () -> balancer.probeEnded(now, upstream, outcome, elapsedMs, report));
-            }
-            case 9 -> {
-                int sender = batch.u16();
-                byte[] message = batch.bytes(batch.u16());
-                tell(instance, balancer, () -> balancer.peerMessage(now, sender, message));
-            }
+            case 1 -> instanceStarted(instance, now);
+            case 2 -> upstreamsListed(instance, balancer, now);
+            case 3 -> requestArrived(instance, balancer, now);
+            case 4 -> streamStarted(instance, balancer, now);
+            case 5 -> attemptEnded(instance, balancer, now);
+            case 6 -> clientLeft(instance, balancer, now);
+            case 7 -> timerFired(instance, balancer, now);
+            case 8 -> probeEnded(instance, balancer, now);
+            case 9 -> peerMessageReceived(instance, balancer, now);
             case 10 -> balancers.remove(instance);
             default -> throw new MalformedFrameException("unknown event code " + code);
         }
     }
 
+    private void instanceStarted(int instance, double now) throws IOException {
+        long seed = batch.u64();
+        Settings settings = settings(batch.text(batch.count(1)));
+        classes.put(instance, settings.classes().size());
+        guarded(instance, () -> {
+            Balancer fresh = factory.create(settings, seed, reply.actionsOf(instance));
+            balancers.put(instance, fresh);
+            fresh.start(now);
+        });
+    }
+
+    private void upstreamsListed(int instance, Balancer balancer, double now) throws IOException {
+        ListKind kind = pick(LIST_KINDS, batch.u8(), "list kind");
+        batch.u32();
+        int bank = batch.u8();
+        if (kind != ListKind.FAILED && bank >= BANKS) {
+            throw new MalformedFrameException("list number " + bank + " is not below " + BANKS);
+        }
+        List<Upstream> entries = kind == ListKind.FAILED ? List.of() : banks.get(bank);
+        tell(instance, balancer, () -> balancer.upstreams(now, kind, entries));
+    }
+
+    private void requestArrived(int instance, Balancer balancer, double now) throws IOException {
+        int id = batch.u32();
+        int flags = batch.u8();
+        batch.u64();
+        int requestClass = batch.u16();
+        if (balancer != null && requestClass >= classes.get(instance)) {
+            throw new MalformedFrameException("unknown class " + requestClass);
+        }
+        double timeoutMs = batch.f64();
+        int tenant = batch.u32();
+        double hintMs = batch.f64();
+        double costMs = (flags & HINT_FLAG) != 0 && hintMs > 0 ? hintMs : 0;
+        tell(
+                instance,
+                balancer,
+                () -> balancer.request(
+                        now, new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, costMs)));
+    }
+
+    private void streamStarted(int instance, Balancer balancer, double now) throws IOException {
+        int id = batch.u32();
+        batch.u32();
+        int attempt = batch.u8();
+        double elapsedMs = batch.f64();
+        tell(instance, balancer, () -> balancer.streamStarted(now, id, attempt, elapsedMs));
+    }
+
+    private void attemptEnded(int instance, Balancer balancer, double now) throws IOException {
+        int id = batch.u32();
+        double elapsedMs = batch.f64();
+        boolean done = batch.u8() != 0;
+        int upstream = batch.u32();
+        int attempt = batch.u8();
+        Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
+        double[] report = report();
+        tell(
+                instance,
+                balancer,
+                () -> balancer.attemptEnded(
+                        now, new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
+    }
+
+    private void clientLeft(int instance, Balancer balancer, double now) throws IOException {
+        int id = batch.u32();
+        tell(instance, balancer, () -> balancer.clientLeft(now, id));
+    }
+
+    private void timerFired(int instance, Balancer balancer, double now) throws IOException {
+        int token = batch.u32();
+        tell(instance, balancer, () -> balancer.timer(now, token));
+    }
+
+    private void probeEnded(int instance, Balancer balancer, double now) throws IOException {
+        int upstream = batch.u32();
+        Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
+        double elapsedMs = batch.f64();
+        double[] report = report();
+        tell(instance, balancer, () -> balancer.probeEnded(now, upstream, outcome, elapsedMs, report));
+    }
+
+    private void peerMessageReceived(int instance, Balancer balancer, double now) throws IOException {
+        int sender = batch.u16();
+        byte[] message = batch.bytes(batch.u16());
+        tell(instance, balancer, () -> balancer.peerMessage(now, sender, message));
+    }
+
     private static Settings settings(String options) throws MalformedFrameException {
         try {
             return SettingsReader.ofLines(options).settings();
--- a/sidecar/src/main/java/gradehub/benchlink/Reply.java
+++ b/sidecar/src/main/java/gradehub/benchlink/Reply.java
@@ -37,58 +37,7 @@
 
     /** The actions of one instance. */
     Balancer.Actions actionsOf(int instance) {
-        return new Balancer.Actions() {
-
-            @Override
-            public void send(int request, int upstream, double timeoutMs) {
-                record(instance, 1, 16).putInt(request).putDouble(timeoutMs).putInt(upstream);
-            }
-
-            @Override
-            public void refuse(int request, double retryAfterMs) {
-                record(instance, 2, 12).putInt(request).putDouble(retryAfterMs);
-            }
-
-            @Override
-            public void fail(int request) {
-                record(instance, 3, 4).putInt(request);
-            }
-
-            @Override
-            public void cancel(int request, int attempt) {
-                record(instance, 4, 5).putInt(request).put((byte) attempt);
-            }
-
-            @Override
-            public void timer(double delayMs, int token) {
-                record(instance, 5, 12).putDouble(delayMs).putInt(token);
-            }
-
-            @Override
-            public void probe(int upstream) {
-                record(instance, 6, 4).putInt(upstream);
-            }
-
-            @Override
-            public void closeIdle(int upstream) {
-                record(instance, 7, 4).putInt(upstream);
-            }
-
-            @Override
-            public void log(String line) {
-                text(instance, 9, line);
-            }
-
-            @Override
-            public void subscribe(boolean on) {
-                record(instance, 11, 1).put((byte) (on ? 1 : 0));
-            }
-
-            @Override
-            public void fetchList() {
-                record(instance, 12, 0);
-            }
-        };
+        return new InstanceActions(instance);
     }
 
     private void text(int instance, int code, String text) {
@@ -117,4 +66,64 @@
     private static ByteBuffer little(byte[] bytes) {
         return ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
     }
+
+    /** Writes the actions of one instance as records. */
+    private final class InstanceActions implements Balancer.Actions {
+
+        private final int instance;
+
+        InstanceActions(int instance) {
+            this.instance = instance;
+        }
+
+        @Override
+        public void send(int request, int upstream, double timeoutMs) {
+            record(instance, 1, 16).putInt(request).putDouble(timeoutMs).putInt(upstream);
+        }
+
+        @Override
+        public void refuse(int request, double retryAfterMs) {
+            record(instance, 2, 12).putInt(request).putDouble(retryAfterMs);
+        }
+
+        @Override
+        public void fail(int request) {
+            record(instance, 3, 4).putInt(request);
+        }
+
+        @Override
+        public void cancel(int request, int attempt) {
+            record(instance, 4, 5).putInt(request).put((byte) attempt);
+        }
+
+        @Override
+        public void timer(double delayMs, int token) {
+            record(instance, 5, 12).putDouble(delayMs).putInt(token);
+        }
+
+        @Override
+        public void probe(int upstream) {
+            record(instance, 6, 4).putInt(upstream);
+        }
+
+        @Override
+        public void closeIdle(int upstream) {
+            record(instance, 7, 4).putInt(upstream);
+        }
+
+        @Override
+        public void log(String line) {
+            text(instance, 9, line);
+        }
+
+        @Override
+        public void subscribe(boolean on) {
+            record(instance, 11, 1).put((byte) (on ? 1 : 0));
+        }
+
+        @Override
+        public void fetchList() {
+            record(instance, 12, 0);
+        }
+    }
 }
--- a/sidecar/src/main/java/gradehub/node/TrainingPeers.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingPeers.java
@@ -203,17 +203,11 @@
                 wire.send(served("Connection: close\r\n"));
                 wire.close();
             }
-            case SERVE_LATE -> {
-                Thread.sleep(LATE_MS);
-                wire.send(served(""));
-            }
+            case SERVE_LATE -> sendLate(wire, served(""));
             case SERVE_AND_MORE -> wire.send(served("") + served(""));
             case ERROR -> wire.send("HTTP/1.1 500 Internal Server Error\r\n" + NO_BODY);
             case TURN_AWAY -> wire.send("HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\n" + NO_BODY);
-            case TURN_AWAY_LATE -> {
-                Thread.sleep(LATE_MS);
-                wire.send("HTTP/1.1 504 Gateway Timeout\r\nX-Turned-Away: 1\r\n" + NO_BODY);
-            }
+            case TURN_AWAY_LATE -> sendLate(wire, "HTTP/1.1 504 Gateway Timeout\r\nX-Turned-Away: 1\r\n" + NO_BODY);
             case NOT_FOUND -> wire.send("HTTP/1.1 404 Not Found\r\n" + NO_BODY);
             case RESET -> wire.reset();
             case CLOSE -> wire.close();
@@ -234,6 +228,11 @@
         }
     }
 
+    private static void sendLate(TrainingWire wire, String answer) throws IOException, InterruptedException {
+        Thread.sleep(LATE_MS);
+        wire.send(answer);
+    }
+
     private static String served(String headers) {
         return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 3\r\n\r\nabc";
     }
