Split the long test of ColdFleetTest

Its settings and its check of the budget are methods of their own; the order of its random draws and its assertions stay.

--- a/sidecar/src/test/java/gradehub/ColdFleetTest.java
+++ b/sidecar/src/test/java/gradehub/ColdFleetTest.java
@@ -53,21 +53,8 @@
     })
     void theSumOfAllStaysWithinTheBudget(int servers, double factor, int seed, int silent, double perServerS) {
         Random random = new Random(seed);
-        RequestClass spec = new RequestClass("class", 600, 2000, 1, 0.5, Effect.SAFE, Group.ALL, 0, false);
         Contract contract = new Contract(0.12, 24_000, factor, 2000, 10_000);
-        Settings settings = new Settings(
-                List.of(spec),
-                List.of(),
-                SIDECARS,
-                true,
-                true,
-                STEP_MS,
-                1,
-                List.of(),
-                false,
-                LIMITS,
-                contract,
-                new Goal(1, 0, 0));
+        Settings settings = settings(contract);
         List<Sidecar> fleet = new ArrayList<>();
         double[] weights = new double[SIDECARS];
         double sum = 0;
@@ -101,6 +88,28 @@
         assertFalse(arrivals.isEmpty(), "it is warmed up");
         fleet.forEach(sidecar -> assertEquals(List.of(), sidecar.breaches));
         double capacityPerMs = perServerS / used / 1000;
+        assertWithinBudget(arrivals, contract, capacityPerMs);
+    }
+
+    private static Settings settings(Contract contract) {
+        RequestClass spec = new RequestClass("class", 600, 2000, 1, 0.5, Effect.SAFE, Group.ALL, 0, false);
+        return new Settings(
+                List.of(spec),
+                List.of(),
+                SIDECARS,
+                true,
+                true,
+                STEP_MS,
+                1,
+                List.of(),
+                false,
+                LIMITS,
+                contract,
+                new Goal(1, 0, 0));
+    }
+
+    /** In each window of the contract the server gets what it can do by then, times the overload factor, and chance. */
+    private static void assertWithinBudget(List<Arrival> arrivals, Contract contract, double capacityPerMs) {
         ArrayDeque<Arrival> window = new ArrayDeque<>();
         double inWindow = 0;
         for (Arrival next : arrivals) {
@@ -111,7 +120,7 @@
             }
             double age = window.peek().atMs / contract.coldMs();
             double present = capacityPerMs * (contract.coldFrom() + (1 - contract.coldFrom()) * age);
-            double budget = factor * present * contract.overloadMs();
+            double budget = contract.overloadFactor() * present * contract.overloadMs();
             double most = budget + 2 * Math.sqrt(budget) + 2;
             assertTrue(inWindow <= most, inWindow + " mean requests to " + next.atMs + " ms, allowed " + most);
         }
