Take the frame writer out of BenchLinkTest and split its long test

Frame, which writes batches, is a file of its own. What malformedFramesNameWhatAndWhere asserted of unknown values in records is recordsWithUnknownValuesNameThem. No assertion is lost or changed.

--- a/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
+++ b/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
@@ -12,7 +12,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,7 +19,6 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -40,88 +38,6 @@
             tickMs=5.0
             """;
 
-    /** Writes one batch as the simulator would. */
-    private static final class Frame {
-        private final ByteBuffer body = ByteBuffer.allocate(1 << 20).order(ByteOrder.LITTLE_ENDIAN);
-        private int records;
-
-        Frame at(int instance) {
-            return put(12, 2, b -> b.putShort((short) instance));
-        }
-
-        Frame spawn(long seed, String settings) {
-            byte[] text = settings.getBytes(StandardCharsets.UTF_8);
-            return put(
-                    1,
-                    12 + text.length,
-                    b -> b.putLong(seed).putInt(text.length).put(text));
-        }
-
-        Frame inventory(int bank, int... upstreams) {
-            return put(11, 5 + 22 * upstreams.length, b -> {
-                b.put((byte) bank).putInt(upstreams.length);
-                for (int upstream : upstreams) {
-                    b.putDouble(0)
-                            .putShort((short) 0)
-                            .put((byte) 0)
-                            .putShort((short) 0)
-                            .putInt(upstream)
-                            .putFloat(1)
-                            .put((byte) 1);
-                }
-            });
-        }
-
-        Frame membership(int mode, int bank) {
-            return put(2, 6, b -> b.put((byte) mode).putInt(1).put((byte) bank));
-        }
-
-        Frame call(int id) {
-            return put(
-                    3,
-                    35,
-                    b -> b.putInt(id)
-                            .put((byte) 0)
-                            .putLong(0)
-                            .putShort((short) 0)
-                            .putDouble(4000)
-                            .putInt(0)
-                            .putDouble(0));
-        }
-
-        Frame verdict(int id, int upstream, int leg, int code, boolean complete) {
-            return put(
-                    5,
-                    20,
-                    b -> b.putInt(id)
-                            .putDouble(20)
-                            .put((byte) (complete ? 1 : 0))
-                            .putInt(upstream)
-                            .put((byte) leg)
-                            .put((byte) code)
-                            .put((byte) 0));
-        }
-
-        Frame teardown() {
-            return put(10, 0, b -> {});
-        }
-
-        Frame put(int code, int bytes, Consumer<ByteBuffer> fields) {
-            int before = body.position();
-            body.putShort((short) code);
-            fields.accept(body);
-            assertEquals(2 + bytes, body.position() - before, "record " + code);
-            records++;
-            return this;
-        }
-
-        byte[] bytes(double now, int number) {
-            ByteBuffer frame = ByteBuffer.allocate(20 + body.position()).order(ByteOrder.LITTLE_ENDIAN);
-            frame.putDouble(now).putInt(8 + body.position()).putInt(records).putInt(number);
-            return frame.put(body.array(), 0, body.position()).array();
-        }
-    }
-
     private static byte[] join(byte[]... parts) {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         for (byte[] part : parts) {
@@ -334,6 +250,10 @@
         byte[] fewer = new Frame().at(0).call(1).bytes(1, 1);
         fewer[12] = 1;
         assertMalformed("follow the last record", fewer);
+    }
+
+    @Test
+    void recordsWithUnknownValuesNameThem() {
         assertMalformed(
                 "unknown class 7",
                 new Frame()
