Take the tests of probes out of SparseTest

Its three tests of probes are SparseProbeTest; what both share is SparseFleet. The tests are moved unchanged.

--- a/sidecar/src/test/java/gradehub/SparseTest.java
+++ b/sidecar/src/test/java/gradehub/SparseTest.java
@@ -1,5 +1,11 @@
 package gradehub;
 
+import static gradehub.SparseFleet.LIMITS;
+import static gradehub.SparseFleet.SAFE;
+import static gradehub.SparseFleet.SIDECARS;
+import static gradehub.SparseFleet.serve;
+import static gradehub.SparseFleet.settings;
+import static gradehub.SparseFleet.sidecar;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,11 +13,9 @@
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
 import gradehub.Balancer.Group;
-import gradehub.Balancer.Limits;
 import gradehub.Balancer.ListKind;
 import gradehub.Balancer.Outcome;
 import gradehub.Balancer.RequestClass;
-import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
 import java.util.ArrayList;
@@ -21,40 +25,6 @@
 /** Failures found where sidecars are many and each sees little: every test fails without the answer to it. */
 class SparseTest {
 
-    private static final int SIDECARS = 300;
-    private static final Limits LIMITS = new Limits(4, true, true, false, 0);
-    private static final RequestClass SAFE = Samples.requestClass(Effect.SAFE, Group.ALL, 1);
-
-    private static Settings settings(
-            int sidecars, boolean marked, Limits limits, boolean reportsOnProbe, Goal goal, RequestClass... classes) {
-        Settings base = Samples.settings(sidecars, limits, false, List.of(), classes);
-        return new Settings(
-                base.classes(),
-                List.of(),
-                sidecars,
-                false,
-                marked,
-                base.tickMs(),
-                base.overShareWorth(),
-                reportsOnProbe ? List.of("active") : List.of(),
-                reportsOnProbe,
-                limits,
-                base.contract(),
-                goal);
-    }
-
-    private static Sidecar sidecar(boolean marked, RequestClass... classes) {
-        return new Sidecar(settings(SIDECARS, marked, LIMITS, false, new Goal(1, 0, 0), classes), 7);
-    }
-
-    private static void serve(Sidecar sidecar, double ms) {
-        Sidecar.Sent attempt = sidecar.last();
-        sidecar.pass(ms);
-        if (attempt.outcome == null) {
-            sidecar.end(attempt, Outcome.OK);
-        }
-    }
-
     @Test
     void aLaterTryWhoseAimHasPassedIsRefusedAtOnce() {
         // Incident i8eec8b: late tries were sent on, could earn nothing, and fed the jam.
@@ -176,67 +146,6 @@
         assertEquals(0.8, large / 400.0, 0.06);
     }
 
-    private static Sidecar asking() {
-        Sidecar sidecar = new Sidecar(
-                settings(SIDECARS, true, new Limits(4, true, true, true, 0), true, new Goal(1, 0, 0), SAFE), 7);
-        sidecar.ready(2);
-        return sidecar;
-    }
-
-    /** Answers the probes that are out; upstream 1 has many requests in hand. */
-    private static void answerProbes(Sidecar sidecar, Outcome first) {
-        while (!sidecar.probed.isEmpty()) {
-            int upstream = sidecar.probed.remove(0);
-            sidecar.balancer.probeEnded(
-                    sidecar.now, upstream, upstream == 1 ? first : Outcome.OK, 1, new double[] {upstream == 1 ? 30 : 0
-                    });
-        }
-    }
-
-    @Test
-    void theServerDrawnIsAskedAndLeftOutWhileItIsCrowded() {
-        // Incident i1d6ed3: sidecars that saw no queue sent into servers that held several requests each.
-        Sidecar sidecar = asking();
-        for (int i = 0; i < 40; i++) {
-            int request = sidecar.request(0);
-            answerProbes(sidecar, Outcome.OK);
-            assertEquals(2, sidecar.attemptsOf(request).get(0).upstream);
-            serve(sidecar, 50);
-        }
-        assertEquals(List.of(), sidecar.breaches);
-    }
-
-    @Test
-    void aServerOutOfReachIsLeftOutAndAskedForUntilItAnswers() {
-        Sidecar sidecar = asking();
-        boolean back = false;
-        for (int i = 0; i < 60; i++) {
-            sidecar.request(0);
-            answerProbes(sidecar, Outcome.CONNECT_FAILED);
-            assertEquals(2, sidecar.last().upstream);
-            serve(sidecar, 100);
-        }
-        assertTrue(sidecar.logs.get(0).contains("a probe found it out of reach"));
-        for (int i = 0; i < 60; i++) {
-            sidecar.request(0);
-            while (!sidecar.probed.isEmpty()) {
-                sidecar.balancer.probeEnded(sidecar.now, sidecar.probed.remove(0), Outcome.OK, 1, new double[] {0});
-            }
-            back |= sidecar.last().upstream == 1;
-            serve(sidecar, 100);
-        }
-        assertTrue(back);
-    }
-
-    @Test
-    void aProbeThatIsNeverAnsweredLosesNoRequest() {
-        Sidecar sidecar = asking();
-        int request = sidecar.request(0);
-        sidecar.pass(1100);
-        assertTrue(sidecar.ended(request) || !sidecar.attemptsOf(request).isEmpty());
-        assertEquals(List.of(), sidecar.breaches);
-    }
-
     @Test
     void aServerThatJustTookLongIsOutOfTheDrawForAWhile() {
         // Incident i8eec8b: a jammed server was sent more at once by each of many sidecars.
