--- /dev/null
+++ b/sidecar/src/test/java/gradehub/SubscriptionTest.java
@@ -0,0 +1,69 @@
+package gradehub;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Subscriptions to the list of upstreams: when a sidecar asks for it, and how soon again after a failure. */
+class SubscriptionTest {
+
+    private static final Limits LIMITS = new Limits(4, true, true, false, 0);
+
+    @Test
+    void anAskingSidecarSubscribesAndDoesSoAgainAtPacedRandomTimes() {
+        List<Double> delays = new ArrayList<>();
+        for (int seed = 0; seed < 20; seed++) {
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(20, LIMITS, true, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    seed);
+            assertEquals(1, sidecar.subscriptions);
+            sidecar.list(ListKind.FAILED);
+            sidecar.list(ListKind.FAILED);
+            double from = sidecar.now;
+            while (sidecar.subscriptions == 1) {
+                sidecar.pass(1);
+            }
+            delays.add(sidecar.now - from);
+            for (int i = 0; i < 10; i++) {
+                sidecar.list(ListKind.FAILED);
+                sidecar.pass(sidecar.settings.contract().askEveryMs() / 2);
+            }
+            assertEquals(12, sidecar.subscriptions, "asks again within half the time allowed");
+        }
+        assertTrue(delays.stream().distinct().count() > 10, "spread out: " + delays);
+        assertTrue(delays.stream().allMatch(delay -> delay >= 100 && delay <= 400), "paced: " + delays);
+    }
+
+    /** What discovery tells counts as told 6 s after it can be reached, however often calls have failed before. */
+    @Test
+    void howeverOftenCallsFailTheNextOneFitsIntoTheTimeToBeTold() {
+        assertTrue(
+                ListTimes.SILENCE_MS + ListTimes.PAUSE_MS + ListTimes.CONNECT_MS < ListTimes.TOLD_MS - 1000,
+                "a second at least for discovery to answer");
+        assertTrue(ListTimes.SILENCE_MS > 2000, "an empty line comes every 2 s");
+        List<Double> delays = new ArrayList<>();
+        for (int seed = 0; seed < 20; seed++) {
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(20, LIMITS, true, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    seed);
+            for (int call = 1; call < 30; call++) {
+                assertEquals(call, sidecar.subscriptions);
+                sidecar.list(ListKind.FAILED);
+                double from = sidecar.now;
+                while (sidecar.subscriptions == call) {
+                    sidecar.pass(1);
+                }
+                assertTrue(sidecar.now - from <= ListTimes.PAUSE_MS + 1, "it waits " + (sidecar.now - from));
+                delays.add(sidecar.now - from);
+            }
+        }
+        assertTrue(delays.stream().distinct().count() > 100, "spread out: " + delays);
+    }
+}
