Split the test of unknown values in BenchLinkTest

Its part on lists of upstreams is malformedListsOfUpstreamsAreNamed, the rest unknownClassesAndOutcomesAreNamed; each assertion stays.

--- a/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
+++ b/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
@@ -253,7 +253,7 @@
     }
 
     @Test
-    void recordsWithUnknownValuesNameThem() {
+    void unknownClassesAndOutcomesAreNamed() {
         assertMalformed(
                 "unknown class 7",
                 new Frame()
@@ -270,6 +270,11 @@
                                         .putInt(0)
                                         .putDouble(0))
                         .bytes(1, 1));
+        assertMalformed("outcome 9", new Frame().at(0).verdict(1, 1, 0, 9, true).bytes(1, 1));
+    }
+
+    @Test
+    void malformedListsOfUpstreamsAreNamed() {
         assertMalformed(
                 "list number 16",
                 new Frame().at(0).put(11, 5, b -> b.put((byte) 16).putInt(0)).bytes(1, 1));
@@ -292,7 +297,6 @@
                                         .putFloat(1)
                                         .put((byte) 3))
                         .bytes(1, 1));
-        assertMalformed("outcome 9", new Frame().at(0).verdict(1, 1, 0, 9, true).bytes(1, 1));
         assertMalformed(
                 "past the end",
                 new Frame().at(0).put(11, 5, b -> b.put((byte) 0).putInt(-1)).bytes(1, 1));
