Rename the package, the jar and its class archive to gradehub

The program has been called gradehub for some time, while its packages, artifact, jar, class archive, logger and error prefixes kept the old name. All now bear the new one; nothing else changes.

--- a/src/main/java/umberkeel/Attempt.java
+++ b/src/main/java/gradehub/Attempt.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** What {@link LoadShiftingBalancer} remembers of one attempt. */
 final class Attempt {
--- a/src/main/java/umberkeel/Call.java
+++ b/src/main/java/gradehub/Call.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/umberkeel/ClassView.java
+++ b/src/main/java/gradehub/ClassView.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** What {@link LoadShiftingBalancer} has seen of one class of requests. */
 final class ClassView {
--- a/src/main/java/umberkeel/DecayedRatio.java
+++ b/src/main/java/gradehub/DecayedRatio.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** Which part of what was counted was good, older counts weighing less with each {@link #fade}. */
 final class DecayedRatio {
--- a/src/main/java/umberkeel/Host.java
+++ b/src/main/java/gradehub/Host.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
--- a/src/main/java/umberkeel/ListTimes.java
+++ b/src/main/java/gradehub/ListTimes.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /**
  * How soon the list of upstreams must be in hand again, once discovery can be reached: the protocol
--- a/src/main/java/umberkeel/Main.java
+++ b/src/main/java/gradehub/Main.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -7,9 +7,9 @@
 import java.io.OutputStream;
 import java.util.Arrays;
 
-import umberkeel.benchlink.BenchLink;
-import umberkeel.node.Rehearsal;
-import umberkeel.node.Sidecar;
+import gradehub.benchlink.BenchLink;
+import gradehub.node.Rehearsal;
+import gradehub.node.Sidecar;
 
 /**
  * {@code serve} runs the sidecar on sockets, {@code benchlink} plays the simulator's wire on standard streams, and
@@ -28,7 +28,7 @@
         } else if (args.length == 1 && args[0].equals("rehearse")) {
             Rehearsal.main();
         } else {
-            System.err.println("usage: java -jar umberkeel.jar serve|benchlink|rehearse, not " + Arrays.toString(args));
+            System.err.println("usage: java -jar gradehub.jar serve|benchlink|rehearse, not " + Arrays.toString(args));
             System.exit(2);
         }
     }
@@ -37,7 +37,7 @@
         try (OutputStream out = new FileOutputStream(FileDescriptor.out)) {
             new BenchLink(LoadShiftingBalancer::new, new FileInputStream(FileDescriptor.in), out).run();
         } catch (IOException e) {
-            System.err.println("umberkeel: " + e.getMessage());
+            System.err.println("gradehub: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/umberkeel/MajorityVote.java
+++ b/src/main/java/gradehub/MajorityVote.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** The value that most of a run of votes give, kept in constant space. */
 final class MajorityVote {
--- a/src/main/java/umberkeel/SettingsReader.java
+++ b/src/main/java/gradehub/SettingsReader.java
@@ -1,18 +1,18 @@
-package umberkeel;
+package gradehub;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import umberkeel.Balancer.Contract;
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Goal;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Tenant;
+import gradehub.Balancer.Contract;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Tenant;
 
 /**
  * Reads settings by path, for the simulator's adapter and for the sidecar on sockets alike. What is missing gets the
--- a/src/main/java/umberkeel/TokenBucket.java
+++ b/src/main/java/gradehub/TokenBucket.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** A bucket of tokens that fills with time, at a rate that may change. */
 final class TokenBucket {
--- a/src/main/java/umberkeel/Trials.java
+++ b/src/main/java/gradehub/Trials.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 /** Failures in a row and, once they have led to a set-aside, when the next trial is due: ever rarer. */
 final class Trials {
--- a/src/main/java/umberkeel/benchlink/BenchLink.java
+++ b/src/main/java/gradehub/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package umberkeel.benchlink;
+package gradehub.benchlink;
 
 import java.io.EOFException;
 import java.io.IOException;
@@ -9,15 +9,15 @@
 import java.util.List;
 import java.util.Map;
 
-import umberkeel.Balancer;
-import umberkeel.Balancer.AttemptEnd;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Request;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
-import umberkeel.SettingsReader;
+import gradehub.Balancer;
+import gradehub.Balancer.AttemptEnd;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Request;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
+import gradehub.SettingsReader;
 
 /** Hosts many balancers behind the simulator's wire: reads batches, passes events on, writes one reply to each. */
 public final class BenchLink {
--- a/src/main/java/umberkeel/benchlink/MalformedFrameException.java
+++ b/src/main/java/gradehub/benchlink/MalformedFrameException.java
@@ -1,4 +1,4 @@
-package umberkeel.benchlink;
+package gradehub.benchlink;
 
 import java.io.IOException;
 
--- a/src/main/java/umberkeel/benchlink/Reply.java
+++ b/src/main/java/gradehub/benchlink/Reply.java
@@ -1,4 +1,4 @@
-package umberkeel.benchlink;
+package gradehub.benchlink;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-import umberkeel.Balancer;
+import gradehub.Balancer;
 
 /** Collects the actions of all instances for one batch and writes them as one frame. */
 final class Reply {
--- a/src/main/java/umberkeel/node/Answer.java
+++ b/src/main/java/gradehub/node/Answer.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 /** The final answer to a client's request; {@code retryAfterMs} 0 gives no advice, {@code type} may be null. */
 record Answer(int status, double retryAfterMs, String type, byte[] body) {
--- a/src/main/java/umberkeel/node/AnswerDecoder.java
+++ b/src/main/java/gradehub/node/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/src/main/java/umberkeel/node/ClientConnection.java
+++ b/src/main/java/gradehub/node/ClientConnection.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -21,12 +21,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
-import umberkeel.node.ClientRequest.RejectedException;
+import gradehub.node.ClientRequest.RejectedException;
 
 /** One connection of a client: its requests, the answers to them in their order, and its end. */
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements RequestDecoder.Input {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     /** For a request's bytes from the first to the last; the first request's time counts from connecting. */
     private static final double REQUEST_MS = 2200;
     /** The same once the sidecar is ending: what is under way then is still waited for, but not for long. */
--- a/src/main/java/umberkeel/node/ClientListener.java
+++ b/src/main/java/gradehub/node/ClientListener.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
@@ -10,7 +10,7 @@
 /** Accepts clients on channels that can be looked at. */
 final class ClientListener extends NioServerSocketChannel {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
 
     @Override
     protected int doReadMessages(List<Object> accepted) throws IOException {
--- a/src/main/java/umberkeel/node/ClientRequest.java
+++ b/src/main/java/gradehub/node/ClientRequest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.util.List;
 
@@ -9,9 +9,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
 
 /** What a client asks for, checked; {@code headers} are those that go on to an upstream. */
 record ClientRequest(String id, int requestClass, int tenant, double remainingMs, boolean repeat, double costMs,
--- a/src/main/java/umberkeel/node/ClientServer.java
+++ b/src/main/java/gradehub/node/ClientServer.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -17,8 +17,8 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
-import umberkeel.Balancer.Settings;
-import umberkeel.node.ClientRequest.RejectedException;
+import gradehub.Balancer.Settings;
+import gradehub.node.ClientRequest.RejectedException;
 
 /** The application's side: accepts connections while there is room, and hands their requests to the engine. */
 final class ClientServer {
--- a/src/main/java/umberkeel/node/Clock.java
+++ b/src/main/java/gradehub/node/Clock.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 /**
  * Unix time in milliseconds, as discovery's start times are. It is read off the system's clock once and then goes by
--- a/src/main/java/umberkeel/node/Config.java
+++ b/src/main/java/gradehub/node/Config.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,8 +12,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-import umberkeel.Balancer.Settings;
-import umberkeel.SettingsReader;
+import gradehub.Balancer.Settings;
+import gradehub.SettingsReader;
 
 /** What the platform tells a sidecar at its start. Keys that are not known here are left alone. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
--- a/src/main/java/umberkeel/node/Discovery.java
+++ b/src/main/java/gradehub/node/Discovery.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,9 +28,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
-import umberkeel.Balancer.ListKind;
-import umberkeel.ListTimes;
-import umberkeel.node.MemberReader.Update;
+import gradehub.Balancer.ListKind;
+import gradehub.ListTimes;
+import gradehub.node.MemberReader.Update;
 
 /**
  * The list of upstreams. Where lists are pushed, a watch is kept open at all times; where they are asked for, the
@@ -38,7 +38,7 @@
  */
 final class Discovery implements Engine.Lists {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     private static final String LIST = "/v1/endpoints";
     private static final long SILENCE_MS = (long) ListTimes.SILENCE_MS;
     private static final long FIRST_PAUSE_MS = 50;
--- a/src/main/java/umberkeel/node/Engine.java
+++ b/src/main/java/gradehub/node/Engine.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -16,18 +16,18 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 
-import umberkeel.Balancer;
-import umberkeel.Balancer.AttemptEnd;
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Request;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
-import umberkeel.node.MemberReader.Member;
-import umberkeel.node.MemberReader.Update;
+import gradehub.Balancer;
+import gradehub.Balancer.AttemptEnd;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Request;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
+import gradehub.node.MemberReader.Member;
+import gradehub.node.MemberReader.Update;
 
 /**
  * Owns the decision module: tells it what happens on the sockets and does what it asks for. All of it runs on the one
@@ -78,7 +78,7 @@
     private record Event(Exchange about, DoubleConsumer telling) {
     }
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     private static final double[] NO_REPORT = {};
 
     private final EventLoop loop;
--- a/src/main/java/umberkeel/node/ListStream.java
+++ b/src/main/java/gradehub/node/ListStream.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/umberkeel/node/LoadReport.java
+++ b/src/main/java/gradehub/node/LoadReport.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.util.List;
 
--- a/src/main/java/umberkeel/node/MemberReader.java
+++ b/src/main/java/gradehub/node/MemberReader.java
@@ -1,11 +1,11 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.net.InetSocketAddress;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Status;
 
 /** Reads the entries of discovery's lists; zones and kinds go by their place in the settings. */
 record MemberReader(List<String> zones, List<String> kinds) {
--- a/src/main/java/umberkeel/node/Rehearsal.java
+++ b/src/main/java/gradehub/node/Rehearsal.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -21,7 +21,7 @@
  */
 public final class Rehearsal {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     static final int REQUESTS = 1200;
     private static final int ON_EACH = 20; // connection
     /** The platform's time from the start of a process until it has to be ready. */
--- a/src/main/java/umberkeel/node/ReloadSignal.java
+++ b/src/main/java/gradehub/node/ReloadSignal.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.lang.reflect.Proxy;
 import java.util.concurrent.ExecutorService;
--- a/src/main/java/umberkeel/node/RequestDecoder.java
+++ b/src/main/java/gradehub/node/RequestDecoder.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/umberkeel/node/RequestGuard.java
+++ b/src/main/java/gradehub/node/RequestGuard.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.util.List;
 
@@ -18,7 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 
-import umberkeel.node.ClientRequest.RejectedException;
+import gradehub.node.ClientRequest.RejectedException;
 
 /**
  * Checks the head of a request before its body is read. One that fails is marked as undecodable, and so ends its
--- a/src/main/java/umberkeel/node/Sidecar.java
+++ b/src/main/java/gradehub/node/Sidecar.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -13,12 +13,12 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
-import umberkeel.LoadShiftingBalancer;
+import gradehub.LoadShiftingBalancer;
 
 /** Puts the sidecar together on one event loop, and takes it down without losing what it has taken. */
 public final class Sidecar {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
     /** After SIGTERM new connections go on coming for a while; until then all of them are served as ever. */
     private static final long GOES_ON_MS = 500;
@@ -62,10 +62,10 @@
             sidecar.listen(config, new Thread(sidecar::stopAndExit, "stop"));
             LOG.log(System.Logger.Level.INFO, "listening on " + sidecar.address());
         } catch (Config.BadConfigException e) {
-            System.err.println("umberkeel: " + e.getMessage());
+            System.err.println("gradehub: " + e.getMessage());
             System.exit(2);
         } catch (IOException e) {
-            System.err.println("umberkeel: listen: " + e.getMessage());
+            System.err.println("gradehub: listen: " + e.getMessage());
             System.exit(1);
         } catch (RuntimeException | ReflectiveOperationException e) {
             LOG.log(System.Logger.Level.ERROR, "can't start", e); // the event loop alone would keep the process up
--- a/src/main/java/umberkeel/node/SocketBudget.java
+++ b/src/main/java/gradehub/node/SocketBudget.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 /**
  * Counts the sockets that are open against the limit, with room left for what the runtime itself holds. Clients and
--- a/src/main/java/umberkeel/node/UpstreamConnection.java
+++ b/src/main/java/gradehub/node/UpstreamConnection.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -30,8 +30,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
-import umberkeel.Balancer.Outcome;
-import umberkeel.node.Upstreams.Attempt;
+import gradehub.Balancer.Outcome;
+import gradehub.node.Upstreams.Attempt;
 
 /**
  * One connection to an upstream. It carries one attempt at a time, and is used again only where an answer left
@@ -39,7 +39,7 @@
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     private static final String TURNED_AWAY = "X-Turned-Away";
     private static final String LOAD_REPORT = "X-Pressure";
     /** They speak of this upstream at this time, not of the request. */
--- a/src/main/java/umberkeel/node/Upstreams.java
+++ b/src/main/java/gradehub/node/Upstreams.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -15,14 +15,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Status;
-import umberkeel.node.MemberReader.Member;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Status;
+import gradehub.node.MemberReader.Member;
 
 /** The connections to upstreams and the attempts on them: each attempt ends once, in {@link #end}. */
 final class Upstreams {
 
-    private static final System.Logger LOG = System.getLogger("umberkeel");
+    private static final System.Logger LOG = System.getLogger("gradehub");
     static final int MOST_BODY_BYTES = 64 * 1024;
 
     private static final double[] NO_REPORT = LoadReport.NONE;
--- a/src/test/java/umberkeel/ColdFleetTest.java
+++ b/src/test/java/gradehub/ColdFleetTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,16 +13,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import umberkeel.Balancer.Contract;
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Goal;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Contract;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
 
 /** What thirty sidecars together send to a server that has just started; none knows what the others do. */
 class ColdFleetTest {
--- a/src/test/java/umberkeel/DeparturesTest.java
+++ b/src/test/java/gradehub/DeparturesTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,14 +10,14 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
 
 /** Each departure from the ordinary path: that it acts on its condition, and that it ends. */
 class DeparturesTest {
--- a/src/test/java/umberkeel/RepositoryTest.java
+++ b/src/test/java/gradehub/RepositoryTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -26,7 +26,7 @@
 /** What the repository promises: the module's limits, and an example that compiles and runs. */
 class RepositoryTest {
 
-    private static final Path MODULE = Path.of("src/main/java/umberkeel");
+    private static final Path MODULE = Path.of("src/main/java/gradehub");
     /** Shared with the network code and the adapter: they decide nothing. */
     private static final Set<String> NOT_POLICY = Set.of("Balancer.java", "Main.java", "SettingsReader.java");
 
--- a/src/test/java/umberkeel/RulesTest.java
+++ b/src/test/java/gradehub/RulesTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -14,14 +14,14 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 
 /** The rules as properties over generated events, for every effect class and limit. */
 class RulesTest {
--- a/src/test/java/umberkeel/Samples.java
+++ b/src/test/java/gradehub/Samples.java
@@ -1,15 +1,15 @@
-package umberkeel;
+package gradehub;
 
 import java.util.List;
 
-import umberkeel.Balancer.Contract;
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Goal;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Tenant;
+import gradehub.Balancer.Contract;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Tenant;
 
 /** Settings for the tests. */
 final class Samples {
--- a/src/test/java/umberkeel/SharesTest.java
+++ b/src/test/java/gradehub/SharesTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,9 +11,9 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Status;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Status;
 
 /** The ordinary path: draws follow shares, and shares follow the design's step. */
 class SharesTest {
--- a/src/test/java/umberkeel/Sidecar.java
+++ b/src/test/java/gradehub/Sidecar.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,16 +7,16 @@
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 
-import umberkeel.Balancer.AttemptEnd;
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Request;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
+import gradehub.Balancer.AttemptEnd;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Request;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 
 /**
  * Stands in for a sidecar: passes events to a balancer, carries its timers and time-outs out, and checks every action
--- a/src/test/java/umberkeel/SparseTest.java
+++ b/src/test/java/gradehub/SparseTest.java
@@ -1,4 +1,4 @@
-package umberkeel;
+package gradehub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,16 +9,16 @@
 
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer.Effect;
-import umberkeel.Balancer.Goal;
-import umberkeel.Balancer.Group;
-import umberkeel.Balancer.Limits;
-import umberkeel.Balancer.ListKind;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.RequestClass;
-import umberkeel.Balancer.Settings;
-import umberkeel.Balancer.Status;
-import umberkeel.Balancer.Upstream;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 
 /** Failures found where sidecars are many and each sees little: every test fails without the answer to it. */
 class SparseTest {
--- a/src/test/java/umberkeel/benchlink/BenchLinkTest.java
+++ b/src/test/java/gradehub/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package umberkeel.benchlink;
+package gradehub.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -23,8 +23,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import umberkeel.IdleBalancer;
-import umberkeel.LoadShiftingBalancer;
+import gradehub.IdleBalancer;
+import gradehub.LoadShiftingBalancer;
 
 /** Frames byte for byte, malformed input, and the main class over real streams. */
 class BenchLinkTest {
@@ -299,11 +299,11 @@
         Result cut = launch(dir, join(good, new byte[] {1, 2, 3}));
         assertTrue(cut.exit != 0);
         assertArrayEquals(fine.out, cut.out, "nothing more after the malformed frame");
-        assertEquals("umberkeel: input ends after 3 of 20 header bytes", cut.err.trim());
+        assertEquals("gradehub: input ends after 3 of 20 header bytes", cut.err.trim());
         Result unset = launch(dir, new Frame().at(0).spawn(1, "lanes.count=1\n").bytes(1, 1));
         assertTrue(unset.exit != 0);
         assertEquals(0, unset.out.length);
-        assertEquals("umberkeel: batch 1, record 1 at byte 24: settings: setting lanes.0.hardLimitMs is missing",
+        assertEquals("gradehub: batch 1, record 1 at byte 24: settings: setting lanes.0.hardLimitMs is missing",
                 unset.err.trim());
     }
 
@@ -315,7 +315,7 @@
         Path out = dir.resolve("out");
         Path err = dir.resolve("err");
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", "target/classes", "umberkeel.Main", "benchlink")
+                "-cp", "target/classes", "gradehub.Main", "benchlink")
                 .redirectInput(in.toFile()).redirectOutput(out.toFile()).redirectError(err.toFile()).start();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         return new Result(process.exitValue(), Files.readAllBytes(out), Files.readString(err));
--- a/src/test/java/umberkeel/node/ConfigTest.java
+++ b/src/test/java/gradehub/node/ConfigTest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import umberkeel.Balancer.Effect;
+import gradehub.Balancer.Effect;
 
 /** The configuration, and the real program's ways to end. */
 class ConfigTest {
@@ -60,7 +60,7 @@
         Process process = serve(file);
         try (BufferedReader log = new BufferedReader(new InputStreamReader(process.getErrorStream(),
                 StandardCharsets.UTF_8))) {
-            assertEquals("umberkeel: settings: missing, or no object", log.readLine());
+            assertEquals("gradehub: settings: missing, or no object", log.readLine());
         }
         assertTrue(process.waitFor(Wire.PATIENCE_MS, TimeUnit.MILLISECONDS));
         assertEquals(2, process.exitValue());
@@ -90,7 +90,7 @@
 
     private static Process serve(Path config) throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "umberkeel.Main", "serve");
+                "-cp", System.getProperty("java.class.path"), "gradehub.Main", "serve");
         builder.environment().put("BALANCER_CONFIG", config.toString());
         return builder.start();
     }
--- a/src/test/java/umberkeel/node/EngineTest.java
+++ b/src/test/java/gradehub/node/EngineTest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -19,11 +19,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import umberkeel.Balancer;
-import umberkeel.Balancer.AttemptEnd;
-import umberkeel.Balancer.Outcome;
-import umberkeel.Balancer.Request;
-import umberkeel.IdleBalancer;
+import gradehub.Balancer;
+import gradehub.Balancer.AttemptEnd;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Request;
+import gradehub.IdleBalancer;
 
 /** How the engine drives a module, with modules that behave badly. */
 class EngineTest {
--- a/src/test/java/umberkeel/node/SidecarTest.java
+++ b/src/test/java/gradehub/node/SidecarTest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import umberkeel.node.Wire.Message;
+import gradehub.node.Wire.Message;
 
 /** The whole sidecar over loopback sockets, with the test as client, upstream and discovery. */
 class SidecarTest {
--- a/src/test/java/umberkeel/node/SizeTest.java
+++ b/src/test/java/gradehub/node/SizeTest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import java.net.ServerSocket;
 import java.util.ArrayList;
--- a/src/test/java/umberkeel/node/WatchTest.java
+++ b/src/test/java/gradehub/node/WatchTest.java
@@ -1,4 +1,4 @@
-package umberkeel.node;
+package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
