Make the sidecar a module below a parent pom

A second module that uses the sidecar's classes had no place, and must never get into the sidecar's jar. The sources and tests of the sidecar move to sidecar/ unchanged; the root pom becomes the parent, with the versions and plugin settings that modules share. RepositoryTest finds the files of the root from the module.

--- a/src/test/java/gradehub/RepositoryTest.java
+++ b/sidecar/src/test/java/gradehub/RepositoryTest.java
@@ -26,7 +26,9 @@
 /** What the repository promises: the module's limits, and an example that compiles and runs. */
 class RepositoryTest {
 
-    private static final Path MODULE = Path.of("src/main/java/gradehub");
+    /** The repository, from the folder of the module, in which the tests run. */
+    private static final Path ROOT = Path.of("..");
+    private static final Path MODULE = ROOT.resolve("sidecar/src/main/java/gradehub");
     /** Shared with the network code and the adapter: they decide nothing. */
     private static final Set<String> NOT_POLICY = Set.of("Balancer.java", "Main.java", "SettingsReader.java");
 
@@ -59,15 +61,15 @@
 
     private static List<Path> policy() throws IOException {
         Matcher list = Pattern.compile("^policy = \\[(.*)]$", Pattern.MULTILINE)
-                .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+                .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
         assertTrue(list.find(), "the deploy file names the policy");
-        return Stream.of(list.group(1).split(",")).map(name -> Path.of(name.strip().replace("\"", ""))).toList();
+        return Stream.of(list.group(1).split(",")).map(name -> ROOT.resolve(name.strip().replace("\"", ""))).toList();
     }
 
     @Test
     void theExampleOfTheReadmeCompilesAndRuns(@TempDir Path dir) throws Exception {
         Matcher block = Pattern.compile("```java\n(.*?)```", Pattern.DOTALL)
-                .matcher(Files.readString(Path.of("README.md")));
+                .matcher(Files.readString(ROOT.resolve("README.md")));
         assertTrue(block.find(), "README.md has an example");
         Path source = Files.writeString(dir.resolve("Example.java"), block.group(1));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
