Add the scale module: a model of a whole fleet on a simulated clock

The module scale/ describes a fleet in a YAML or JSON file with a checked schema and plays it: real decision modules behind Balancer.Actions, with model upstreams, network, list service and clients, on one event queue in whole microseconds. Commands: model, check, slopes. The sidecar does not depend on it.

--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/model/ColdBudget.java
@@ -0,0 +1,62 @@
+package gradehub.scale.model;
+
+import gradehub.scale.experiment.UpstreamModel;
+import java.util.ArrayDeque;
+
+/**
+ * What a started upstream can do, and what it can take. Its capacity rises evenly from the cold part to the whole. With
+ * N the requests of mean work that are {@code overloadFactor} times its present capacity over the span in question, it
+ * falls over when more than N + 2 sqrt(N) + 2 reach it within a span.
+ */
+final class ColdBudget {
+
+    private record Arrival(long atMicros, double requests) {}
+
+    private final UpstreamModel model;
+    private final double warmRequestsPerMicro;
+    private final long coldMicros;
+    private final long spanMicros;
+    private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
+    private double inSpan;
+    private long startedMicros;
+    private long warmMicros;
+
+    ColdBudget(UpstreamModel model, double warmRequestsPerMicro) {
+        this.model = model;
+        this.warmRequestsPerMicro = warmRequestsPerMicro;
+        this.coldMicros = model.coldMillis() * World.MICROS_PER_MILLI;
+        this.spanMicros = model.overloadMillis() * World.MICROS_PER_MILLI;
+    }
+
+    /** A process starts, cold. */
+    void start(long nowMicros) {
+        startedMicros = nowMicros;
+        warmMicros = nowMicros + coldMicros;
+        arrivals.clear();
+        inSpan = 0;
+    }
+
+    boolean isCold(long nowMicros) {
+        return nowMicros < warmMicros;
+    }
+
+    /** The part of its whole capacity that it has now. */
+    double capacity(long nowMicros) {
+        if (!isCold(nowMicros)) {
+            return 1;
+        }
+        return model.coldFrom() + (1 - model.coldFrom()) * (nowMicros - startedMicros) / coldMicros;
+    }
+
+    /** Counts a request of this size, in mean ones, and tells the load of the latest span against what it can take. */
+    double count(long nowMicros, double requests) {
+        arrivals.add(new Arrival(nowMicros, requests));
+        inSpan += requests;
+        while (nowMicros - arrivals.peek().atMicros() > spanMicros) {
+            inSpan -= arrivals.poll().requests();
+        }
+        double present = capacity(arrivals.peek().atMicros()) * warmRequestsPerMicro;
+        double budget = model.overloadFactor() * present * spanMicros;
+        return inSpan / (budget + 2 * Math.sqrt(budget) + 2);
+    }
+}
--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/model/ListClient.java
@@ -0,0 +1,137 @@
+package gradehub.scale.model;
+
+import gradehub.Balancer.ListKind;
+import gradehub.ListTimes;
+
+/** A sidecar's client of the list service. It behaves as the network code's, with the same times. */
+final class ListClient {
+
+    private static final long SILENCE_MICROS = Math.round(ListTimes.SILENCE_MS * World.MICROS_PER_MILLI);
+    private static final double CONNECT_MILLIS = ListTimes.CONNECT_MS;
+
+    private final World world;
+    private final ModelSidecar sidecar;
+    private Watch watch;
+    private int revision = -1;
+    private long heardMicros;
+    private long startedMicros;
+    /** Whether there has been no watch since an earlier one failed. */
+    private boolean lost;
+    /** When the sidecar was told of another list service from which it has no list yet, or -1. */
+    private long movedMicros = -1;
+
+    ListClient(World world, ModelSidecar sidecar) {
+        this.world = world;
+        this.sidecar = sidecar;
+    }
+
+    /** The latest revision in hand, or -1. */
+    int revision() {
+        return revision;
+    }
+
+    /** Whether a list has come from the present list service and the watch stands. */
+    boolean isCurrent() {
+        return watch != null && watch.answered && !lost && movedMicros < 0;
+    }
+
+    /** The process starts, with the list that it last had. */
+    void start(long nowMicros) {
+        startedMicros = nowMicros;
+        revision = world.listService.revision();
+        lost = false;
+        movedMicros = -1;
+    }
+
+    /** The process has ended. */
+    void stop(long nowMicros) {
+        close(nowMicros);
+    }
+
+    void subscribe(long nowMicros) {
+        close(nowMicros);
+        Watch opened = new Watch(this, sidecar.machine(), revision);
+        watch = opened;
+        heardMicros = nowMicros;
+        if (world.listService.reaches(sidecar.machine())) {
+            long roundTripAndCall = 3 * world.network.listServiceDelayMicros(sidecar.machine());
+            world.queue.at(nowMicros + roundTripAndCall, now -> world.listService.call(now, opened));
+            world.queue.at(nowMicros + SILENCE_MICROS, now -> checkSilence(now, opened));
+        } else {
+            double millis = Math.min(CONNECT_MILLIS, world.network.model().connectTimeoutMillis());
+            world.queue.at(nowMicros + Math.round(millis * World.MICROS_PER_MILLI), now -> ended(now, opened));
+        }
+    }
+
+    /** The list service is at another address, whose whole list is asked for. */
+    void moveTo(long nowMicros) {
+        if (sidecar.isRunning()) {
+            movedMicros = nowMicros;
+            revision = -1;
+            subscribe(nowMicros);
+        }
+    }
+
+    /** The watch has ended, or could not be opened. */
+    void ended(long nowMicros, Watch which) {
+        if (which != watch) {
+            return;
+        }
+        close(nowMicros);
+        lost = true;
+        sidecar.listFailed(nowMicros);
+    }
+
+    /** Something has come over the watch; {@code update} is null for an empty line. */
+    void heard(long nowMicros, Watch which, ListUpdate update) {
+        if (which != watch) {
+            return;
+        }
+        heardMicros = nowMicros;
+        if (update != null) {
+            measure(nowMicros, update);
+            revision = update.revision();
+            sidecar.tell(nowMicros, update.complete() ? ListKind.FULL : ListKind.DELTA, update.entries());
+        }
+    }
+
+    private void measure(long nowMicros, ListUpdate update) {
+        long reachableMicros = Math.max(startedMicros, world.listService.reachableSinceMicros(sidecar.machine()));
+        if (lost) {
+            lost = false;
+            world.measurements.listRestored(nowMicros, nowMicros - reachableMicros);
+        }
+        if (movedMicros >= 0) {
+            world.measurements.configured(nowMicros, nowMicros - movedMicros);
+            movedMicros = -1;
+        }
+        long oldest = Long.MAX_VALUE;
+        for (ListEntry entry : update.entries()) {
+            if (revision >= 0 && entry.revision() > revision) {
+                oldest = Math.min(oldest, entry.changedMicros());
+            }
+        }
+        if (oldest < Long.MAX_VALUE) {
+            world.measurements.told(nowMicros, nowMicros - Math.max(oldest, reachableMicros));
+        }
+    }
+
+    private void checkSilence(long nowMicros, Watch which) {
+        if (which != watch) {
+            return;
+        }
+        if (nowMicros - heardMicros >= SILENCE_MICROS) {
+            ended(nowMicros, which);
+        } else {
+            world.queue.at(heardMicros + SILENCE_MICROS, now -> checkSilence(now, which));
+        }
+    }
+
+    private void close(long nowMicros) {
+        if (watch != null) {
+            watch.wanted = false;
+            world.listService.closedBySidecar(nowMicros, watch);
+            watch = null;
+        }
+    }
+}
--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/model/ModelSidecar.java
@@ -0,0 +1,165 @@
+package gradehub.scale.model;
+
+import gradehub.Balancer;
+import gradehub.Balancer.Contract;
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.Goal;
+import gradehub.Balancer.Group;
+import gradehub.Balancer.Limits;
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
+import gradehub.Balancer.Upstream;
+import gradehub.scale.experiment.CallModel;
+import gradehub.scale.experiment.Experiment;
+import gradehub.scale.experiment.UpstreamModel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * A machine's sidecar: one decision module for each service that its application calls, and one client of the list
+ * service for all of them. The first module decides when the list is asked for again.
+ */
+final class ModelSidecar {
+
+    private static final double TICK_MILLIS = 5;
+    private static final double LATE_WORTH = 0.5;
+    private static final double ASK_EVERY_MILLIS = 10_000;
+
+    private final World world;
+    private final Topology.Machine machine;
+    private final SplittableRandom random;
+    private final ListClient listClient;
+    private final List<Integer> called;
+    private final List<ServiceClient> clients = new ArrayList<>();
+    private int life;
+    private boolean running;
+
+    ModelSidecar(World world, Topology.Machine machine) {
+        this.world = world;
+        this.machine = machine;
+        this.random = world.newRandom();
+        this.called = world.topology.services.get(machine.service()).called();
+        this.listClient = new ListClient(world, this);
+    }
+
+    Topology.Machine machine() {
+        return machine;
+    }
+
+    /** The services that its application calls. */
+    List<Integer> called() {
+        return called;
+    }
+
+    /** Counts the processes that have run here. */
+    int life() {
+        return life;
+    }
+
+    boolean isRunning() {
+        return running;
+    }
+
+    ListClient listClient() {
+        return listClient;
+    }
+
+    /** The decision modules' hosts, one for each called service; one without a service where it calls none. */
+    List<ServiceClient> clients() {
+        return clients;
+    }
+
+    /** Starts a process, with the list as the sidecar last had it. */
+    void start(long nowMicros, List<ListEntry> known) {
+        running = true;
+        for (int i = 0; i < Math.max(1, called.size()); i++) {
+            int callers = called.isEmpty()
+                    ? 1
+                    : world.topology.services.get(called.get(i)).callers();
+            clients.add(new ServiceClient(world, this, settings(world.experiment, callers), random.nextLong()));
+        }
+        listClient.start(nowMicros);
+        tell(nowMicros, ListKind.CACHED, known);
+        clients.forEach(client -> client.start(nowMicros));
+    }
+
+    /** The process ends, by itself or with its machine. */
+    void stop(long nowMicros) {
+        running = false;
+        life++;
+        clients.forEach(ServiceClient::stop);
+        clients.clear();
+        listClient.stop(nowMicros);
+    }
+
+    /** What a module is told whose service is called by so many sidecars. */
+    static Settings settings(Experiment experiment, int callers) {
+        CallModel calls = experiment.calls();
+        UpstreamModel upstream = experiment.upstream();
+        RequestClass spec = new RequestClass(
+                "call", calls.aimMillis(), calls.deadlineMillis(), 1, LATE_WORTH, Effect.SAFE, Group.ALL, 0, false);
+        Contract contract = new Contract(
+                upstream.coldFrom(),
+                upstream.coldMillis(),
+                upstream.overloadFactor(),
+                upstream.overloadMillis(),
+                ASK_EVERY_MILLIS);
+        Limits limits = new Limits(calls.maxAttempts(), calls.secondCopies(), true, false, 0);
+        return new Settings(
+                List.of(spec),
+                List.of(),
+                callers,
+                true,
+                true,
+                TICK_MILLIS,
+                1,
+                List.of(),
+                false,
+                limits,
+                contract,
+                new Goal(1, 0, 0));
+    }
+
+    /** Only the first module's wish counts: the network code keeps one watch for all. */
+    void subscribe(ServiceClient client, boolean on) {
+        if (on && client == clients.get(0)) {
+            listClient.subscribe(world.queue.nowMicros());
+        }
+    }
+
+    /** The watch has failed: the first module decides when it is opened again. */
+    void listFailed(long nowMicros) {
+        clients.get(0).listed(nowMicros, ListKind.FAILED, List.of());
+    }
+
+    /** Tells each module of the listed machines of its service. */
+    void tell(long nowMicros, ListKind kind, List<ListEntry> listed) {
+        for (int i = 0; i < clients.size(); i++) {
+            List<Upstream> entries = new ArrayList<>();
+            for (ListEntry entry : listed) {
+                if (i < called.size() && entry.machine().service() == called.get(i)) {
+                    entries.add(entry.upstream());
+                }
+            }
+            clients.get(i).listed(nowMicros, kind, entries);
+        }
+    }
+
+    /** How many calls the next operation makes. */
+    int drawCalls() {
+        if (called.isEmpty()) {
+            return 0;
+        }
+        double mean = world.experiment.calls().callsPerRequest();
+        int whole = (int) mean;
+        boolean another = mean > whole && random.nextDouble() < mean - whole;
+        return whole + (another ? 1 : 0);
+    }
+
+    /** The service that the next call goes to: each as often. */
+    ServiceClient drawClient() {
+        return clients.get(clients.size() == 1 ? 0 : random.nextInt(clients.size()));
+    }
+}
--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/model/Operation.java
@@ -0,0 +1,60 @@
+package gradehub.scale.model;
+
+/** What an application does for one request: its calls to the next layer, all at once. It ends with the last of them. */
+final class Operation {
+
+    /** Told of the end of an operation. */
+    @FunctionalInterface
+    interface End {
+        /** The operation has ended; it has succeeded if all its calls were served. */
+        void ended(long nowMicros, boolean succeeded);
+    }
+
+    private final World world;
+    private final ModelSidecar sidecar;
+    private final int life;
+    private final End end;
+    private int pending;
+    private boolean failed;
+
+    private Operation(World world, ModelSidecar sidecar, End end) {
+        this.world = world;
+        this.sidecar = sidecar;
+        this.life = sidecar.life();
+        this.end = end;
+    }
+
+    /** Begins an operation of the application beside this sidecar. */
+    static void begin(World world, ModelSidecar sidecar, long nowMicros, long deadlineMicros, int tries, End end) {
+        Operation operation = new Operation(world, sidecar, end);
+        operation.pending = sidecar.drawCalls();
+        if (operation.pending == 0) {
+            end.ended(nowMicros, true);
+            return;
+        }
+        long delayMicros = world.network.model().localMicros();
+        int calls = operation.pending;
+        for (int i = 0; i < calls; i++) {
+            ServiceClient client = sidecar.drawClient();
+            ApplicationCall call = new ApplicationCall(world, operation, client, deadlineMicros, tries);
+            world.measurements.called(nowMicros, sidecar.machine());
+            world.queue.at(nowMicros + delayMicros, call::start);
+        }
+    }
+
+    /** Whether the process that it runs in still lives. */
+    boolean isLive() {
+        return sidecar.life() == life;
+    }
+
+    void callEnded(long nowMicros, boolean served) {
+        if (!isLive()) {
+            return;
+        }
+        failed |= !served;
+        pending--;
+        if (pending == 0) {
+            end.ended(nowMicros, !failed);
+        }
+    }
+}
--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the scale experiments. */
+package gradehub.scale;
--- /dev/null
+++ b/scale/src/main/java/gradehub/scale/result/ResultFiles.java
@@ -0,0 +1,127 @@
+package gradehub.scale.result;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+
+/** Writes results as CSV: a summary of all runs, and for each run its seconds and its services. */
+public final class ResultFiles implements Closeable {
+
+    /** Name of the summary's file. */
+    public static final String SUMMARY = "summary.csv";
+
+    private static final CSVFormat FORMAT =
+            CSVFormat.DEFAULT.builder().setRecordSeparator('\n').build();
+
+    private final Path folder;
+    private final boolean summaryOnly;
+    private final CSVPrinter summary;
+
+    private ResultFiles(Path folder, boolean summaryOnly, CSVPrinter summary) {
+        this.folder = folder;
+        this.summaryOnly = summaryOnly;
+        this.summary = summary;
+    }
+
+    /** Begins the files of a folder anew. */
+    public static ResultFiles create(Path folder, boolean summaryOnly) throws IOException {
+        Files.createDirectories(folder);
+        CSVPrinter summary = open(
+                folder.resolve(SUMMARY), "experiment", "size", "seed", "complete", "figure", "value", "unit");
+        return new ResultFiles(folder, summaryOnly, summary);
+    }
+
+    /** Writes the results of a run. */
+    public void add(RunResult result) throws IOException {
+        for (RunResult.Figure figure : result.figures()) {
+            summary.printRecord(
+                    result.experiment(),
+                    result.size(),
+                    result.seed(),
+                    result.complete(),
+                    figure.name(),
+                    RunResult.format(figure.value()),
+                    figure.unit());
+        }
+        summary.printRecord(
+                result.experiment(),
+                result.size(),
+                result.seed(),
+                result.complete(),
+                "digest",
+                result.digest(),
+                "sha-256");
+        summary.flush();
+        if (!summaryOnly) {
+            writeSeconds(result);
+            writeServices(result);
+        }
+    }
+
+    private void writeSeconds(RunResult result) throws IOException {
+        Path file = folder.resolve(name(result, "seconds"));
+        try (CSVPrinter rows = open(
+                file,
+                "second",
+                "root-offered",
+                "root-served",
+                "attempts",
+                "leaf-attempts",
+                "list-calls",
+                "list-calls-failed",
+                "list-bytes-in",
+                "list-bytes-out",
+                "restored",
+                "configured")) {
+            for (RunResult.Second row : result.seconds()) {
+                rows.printRecord(
+                        row.second(),
+                        row.rootOffered(),
+                        row.rootServed(),
+                        row.attempts(),
+                        row.leafAttempts(),
+                        row.listCalls(),
+                        row.listCallsFailed(),
+                        row.listBytesIn(),
+                        row.listBytesOut(),
+                        row.restored(),
+                        row.configured());
+            }
+        }
+    }
+
+    private void writeServices(RunResult result) throws IOException {
+        Path file = folder.resolve(name(result, "services"));
+        try (CSVPrinter rows =
+                open(file, "service", "layer", "upstreams", "callers", "per-upstream", "spread")) {
+            for (RunResult.ServiceLoad row : result.services()) {
+                rows.printRecord(
+                        row.service(),
+                        row.layer(),
+                        row.upstreams(),
+                        row.callers(),
+                        RunResult.format(row.perUpstream()),
+                        RunResult.format(row.spread()));
+            }
+        }
+    }
+
+    private static String name(RunResult result, String what) {
+        return result.experiment() + "-" + result.size() + "-" + result.seed() + "-" + what + ".csv";
+    }
+
+    private static CSVPrinter open(Path file, String... header) throws IOException {
+        CSVPrinter printer = new CSVPrinter(Files.newBufferedWriter(file, StandardCharsets.UTF_8), FORMAT);
+        printer.printRecord((Object[]) header);
+        return printer;
+    }
+
+    @Override
+    public void close() throws IOException {
+        summary.close();
+    }
+}
--- /dev/null
+++ b/scale/src/test/java/gradehub/scale/experiment/ExperimentReaderTest.java
@@ -0,0 +1,102 @@
+package gradehub.scale.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gradehub.scale.TestExperiments;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What experiment files may hold, and where the error is said to be in one that may not be run. */
+class ExperimentReaderTest {
+
+    /** Replaces a line of the small experiment and expects the error there. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "seed: 1                    | seed: one                                | seed                    | whole number",
+                "seed: 1                    | seed: 1.5                                | seed                    | whole number",
+                "  upstreams: 60            |   upstreams: '60'                        | fleet.upstreams         | whole number",
+                "  upstreams: 60            |   upstreams: 1000000                     | fleet.upstreams         | between",
+                "  utilisation: 0.5         |   utilisation: .nan                      | fleet.utilisation       | number",
+                "  services: 16             |   services: 30                           | fleet.services          | do not make",
+                "  hops: 7                  |   hopps: 7                               | fleet.hops              | missing",
+                "  cores: 2                 |   cores: 2, 3                            | upstream.cores          | whole number",
+                "  cores: 2                 |   cores: [2]                             | upstream.cores          | single value",
+                "  secondCopies: true       |   secondCopies: 1                        | calls.secondCopies      | true or false",
+                "  aimMillis: 600           |   aimMillis: 9000                        | calls.deadlineMillis    | between",
+                "  scope: service           |   scope: world                           | listService.scope       | one of",
+                "    - name: south          |     - name: north                        | fleet.regions[1].name   | two things",
+                "network:                   | network: 3                               | network                 | object",
+                "faults: []                 | faults: {}                               | faults                  | list",
+                "faults: []                 | faults: [{kind: flood}]                  | faults[0].kind          | one of",
+                "faults: []                 | faults: [{kind: zone-lost, atSeconds: 1, forSeconds: 1, zone: east}] | faults[0].zone | one of",
+                "faults: []                 | faults: [{kind: machines-lost, atSeconds: 1, forSeconds: 1, count: 61}] | faults[0].count | between",
+                "faults: []                 | faults: [{kind: list-service-down, atSeconds: 99, forSeconds: 1}] | faults[0].atSeconds | between",
+                "faults: []                 | faults: [{kind: upstreams-fail, atSeconds: 1, forSeconds: 1, layer: 8, part: 1, errorPart: 1}] | faults[0].layer | between"
+            })
+    void namesLineAndFieldOfAnError(String line, String wrong, String field, String problem) {
+        List<String> lines = TestExperiments.smallText().lines().toList();
+        int place = lines.stream().map(String::strip).toList().indexOf(line.strip());
+        assertTrue(place >= 0, "the small experiment has the line " + line);
+        String indent = lines.get(place).replace(line.strip(), "");
+        String text = String.join("\n", lines).replace(lines.get(place), indent + wrong.strip());
+        if (wrong.strip().equals("network: 3")) {
+            text = text.replaceAll("(?m)^  (local|same|other|connect)\\w+: \\d+\n", "");
+        }
+        String changed = text;
+        ExperimentFileException error =
+                assertThrows(ExperimentFileException.class, () -> ExperimentReader.parse(changed));
+        assertEquals(field, error.field());
+        assertTrue(error.getMessage().contains(problem), error.getMessage());
+        boolean elsewhere = problem.equals("missing") || field.equals("calls.deadlineMillis");
+        if (!elsewhere) {
+            assertEquals(place + 1, error.line(), error.getMessage());
+        }
+    }
+
+    @Test
+    void refusesAKeyThatIsNotKnownAtItsOwnPlace() {
+        String text = TestExperiments.smallText().replace("  hops: 7\n", "  hops: 7\n  depth: 7\n");
+        int line = text.substring(0, text.indexOf("depth: 7")).split("\n").length;
+        ExperimentFileException error = assertThrows(ExperimentFileException.class, () -> ExperimentReader.parse(text));
+        assertEquals("fleet.depth", error.field());
+        assertEquals(line, error.line());
+        assertEquals(3, error.column());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'name: [', 1", "'', 1", "'name: a\nname: b', 2", "'- 1', 1", "'{\"name\": \"a\",\n \"seed\" 1}', 2"})
+    void refusesWhatIsNoObject(String text, int line) {
+        ExperimentFileException error = assertThrows(ExperimentFileException.class, () -> ExperimentReader.parse(text));
+        assertEquals(line, error.line(), error.getMessage());
+    }
+
+    @Test
+    void readsEachShippedExperiment() throws IOException, ExperimentFileException {
+        try (Stream<Path> files = Files.list(Path.of("experiments"))) {
+            List<Path> experiments = files.filter(file -> file.toString().endsWith(".yaml")).toList();
+            assertTrue(!experiments.isEmpty(), "there are experiments");
+            for (Path file : experiments) {
+                String name = file.getFileName().toString().replace(".yaml", "");
+                assertEquals(name, ExperimentReader.read(file).name());
+            }
+        }
+    }
+
+    @Test
+    void aFleetAtAnotherSizeKeepsItsProportions() {
+        Experiment half = TestExperiments.small().atSize(30);
+        assertEquals(30, half.fleet().upstreams());
+        assertEquals(8, half.fleet().services());
+        assertEquals(200, half.calls().rootCallsPerSecond());
+    }
+}
--- /dev/null
+++ b/scale/src/test/java/gradehub/scale/model/ListJsonTest.java
@@ -0,0 +1,76 @@
+package gradehub.scale.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The lengths of messages against messages that were made. */
+class ListJsonTest {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PROTOCOL_EXAMPLE = "{\"id\":\"s-5be2a07c\",\"host_port\":\"10.1.0.18:8000\","
+            + "\"locality\":\"a\",\"flavor\":\"m2\",\"cell\":3,\"phase\":\"active\",\"size\":1.0,\"up_since_ms\":0}";
+
+    private static ListEntry entry(int number, ListEntry.Phase phase, long startedMicros) {
+        return ListEntry.of(new Topology.Machine(number, 3, 1, 0), "a", phase, startedMicros, 43, 0);
+    }
+
+    @Test
+    void anEntryHasTheFormOfTheProtocol() throws IOException {
+        JsonNode example = JSON.readTree(PROTOCOL_EXAMPLE);
+        byte[] made = ListJson.member(new Topology.Machine(18, 3, 1, 0), "a", ListEntry.Phase.ACTIVE, -1);
+        ObjectNode entry = (ObjectNode) JSON.readTree(made);
+        List<String> names = new ArrayList<>();
+        entry.fieldNames().forEachRemaining(names::add);
+        List<String> exampleNames = new ArrayList<>();
+        example.fieldNames().forEachRemaining(exampleNames::add);
+        assertEquals(exampleNames, names);
+        entry.put("id", "s-5be2a07c");
+        assertEquals(example, JSON.readTree(JSON.writeValueAsBytes(entry)));
+        assertEquals(PROTOCOL_EXAMPLE.length(), made.length);
+    }
+
+    @Test
+    void theLengthOfAMessageIsThatOfItsBytes() throws IOException {
+        for (int count : new int[] {0, 1, 2, 750}) {
+            List<ListEntry> entries = new ArrayList<>();
+            ArrayNode members = JSON.createArrayNode();
+            for (int i = 0; i < count; i++) {
+                ListEntry.Phase phase = ListEntry.Phase.values()[i % 3];
+                entries.add(entry(i, phase, i * 1000 - 1));
+                members.add(JSON.readTree(ListJson.member(entries.get(i).machine(), "a", phase, i * 1000 - 1)));
+            }
+            int chunk = line(members).length();
+            int framed = Integer.toHexString(chunk).length() + 2 + chunk + 2;
+            assertEquals(framed, ListJson.messageBytes(43, false, entries), count + " entries");
+        }
+    }
+
+    private static String line(ArrayNode members) throws JsonProcessingException {
+        ObjectNode message = JSON.createObjectNode().put("revision", 43).put("complete", false);
+        message.set("members", members);
+        return JSON.writeValueAsString(message) + "\n";
+    }
+
+    @Test
+    void anEmptyLineIsAChunkOfOneByte() {
+        assertEquals("1\r\n\n\r\n".length(), ListJson.LINE_OF_LIFE_BYTES);
+    }
+
+    @Test
+    void aCallNamesTheRevisionThatItHas() {
+        assertEquals(
+                "GET /v1/endpoints?watch=1&from=41 HTTP/1.1\r\nhost: 10.2.0.1:8500\r\n\r\n".length(),
+                ListJson.callBytes(41));
+        assertEquals(
+                "GET /v1/endpoints?watch=1 HTTP/1.1\r\nhost: 10.2.0.1:8500\r\n\r\n".length(), ListJson.callBytes(-1));
+    }
+}
--- /dev/null
+++ b/scale/src/test/java/gradehub/scale/model/SimulationTest.java
@@ -0,0 +1,119 @@
+package gradehub.scale.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gradehub.scale.TestExperiments;
+import gradehub.scale.experiment.Experiment;
+import gradehub.scale.experiment.Fault;
+import gradehub.scale.result.RunResult;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Whole runs: they repeat, they can be ended, and whatever happens each call is answered in time. */
+class SimulationTest {
+
+    private static final Fault[] ALL_FAULTS = {
+        new Fault.UpstreamsFail(3.5, 1, 4, 0.3, 0.8),
+        new Fault.UpstreamsSlow(4, 1, 6, 0.5, 5),
+        new Fault.MachinesLost(3.2, 2, 3),
+        new Fault.Restarts(3, 3, 5, 0.5),
+        new Fault.ZoneLost(4, 2, "south-2"),
+        new Fault.RegionParted(5, 1, "south"),
+        new Fault.ListServiceDown(3.1, 1.5),
+        new Fault.ConfigurationChange(5.5, 1)
+    };
+
+    private static Experiment withAllFaults() {
+        return TestExperiments.with(TestExperiments.small(), 3, 5, ALL_FAULTS);
+    }
+
+    private static RunResult run(Experiment experiment) {
+        return new Simulation(experiment).run((seconds, calls) -> true);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameDigestAndAnotherSeedAnother() {
+        String digest = run(withAllFaults()).digest();
+        assertTrue(digest.matches("[0-9a-f]{64}"));
+        assertEquals(digest, run(withAllFaults()).digest());
+        assertNotEquals(digest, run(withAllFaults().withSeed(2)).digest());
+    }
+
+    @Test
+    void aRunThatIsEndedKeepsWhatWasMeasured() {
+        List<Double> told = new ArrayList<>();
+        RunResult result = new Simulation(TestExperiments.small()).run((seconds, calls) -> {
+            told.add(seconds);
+            return seconds < 5;
+        });
+        assertEquals(List.of(1.0, 2.0, 3.0, 4.0, 5.0), told);
+        assertFalse(result.complete());
+        assertEquals(2, result.figure("measured-time"), 1e-9);
+        assertTrue(result.figure("root-calls") > 300);
+        assertTrue(run(TestExperiments.small()).complete());
+    }
+
+    @Test
+    void theFleetHasItsSizesAndEachServiceHasACaller() {
+        Experiment experiment = TestExperiments.small().atSize(750);
+        Topology topology = new World(experiment).topology;
+        assertEquals(750, topology.machines.size());
+        for (Topology.Service service : topology.services) {
+            int size = service.machines().size();
+            assertTrue(size >= 3 && size <= 8, size + " upstreams");
+            assertEquals(service.layer() > 0, service.callers() > 0);
+            assertEquals(service.layer() < 7, !service.called().isEmpty());
+        }
+        double leaves = topology.layer(7).stream()
+                .mapToDouble(Topology.Service::planned)
+                .sum();
+        assertEquals(experiment.calls().rootCallsPerSecond(), leaves, 1e-6);
+    }
+
+    @Provide
+    Arbitrary<List<Fault>> faults() {
+        Arbitrary<Double> starts = Arbitraries.doubles().between(0, 6);
+        Arbitrary<Double> lengths = Arbitraries.doubles().between(0, 4);
+        Arbitrary<Integer> kinds = Arbitraries.integers().between(0, ALL_FAULTS.length - 1);
+        return Combinators.combine(starts, lengths, kinds).as(SimulationTest::fault).list().ofMaxSize(5);
+    }
+
+    private static Fault fault(double at, double lasting, int kind) {
+        return switch (kind) {
+            case 0 -> new Fault.UpstreamsFail(at, lasting, 1 + (int) at, 0.7, 0.5);
+            case 1 -> new Fault.UpstreamsSlow(at, lasting, 1 + (int) at, 0.7, 30);
+            case 2 -> new Fault.MachinesLost(at, lasting, 10);
+            case 3 -> new Fault.Restarts(at, lasting, 12, lasting / 4);
+            case 4 -> new Fault.ZoneLost(at, lasting, "north-1");
+            case 5 -> new Fault.RegionParted(at, lasting, "north");
+            case 6 -> new Fault.ListServiceDown(at, lasting);
+            default -> new Fault.ConfigurationChange(at, lasting);
+        };
+    }
+
+    /** The sidecars' rules under faults at random times: no answer after the deadline, no call without its end. */
+    @Property(tries = 25, seed = "20", shrinking = net.jqwik.api.ShrinkingMode.OFF)
+    void whateverHappensEachCallIsAnsweredInTime(@ForAll("faults") List<Fault> faults, @ForAll long seed) {
+        Experiment small = TestExperiments.withRate(TestExperiments.small(), 150);
+        Experiment experiment =
+                TestExperiments.with(small, 0, 8, faults.toArray(new Fault[0])).withSeed(seed);
+        World world = new World(experiment);
+        new Simulation(world).run((seconds, calls) -> true);
+        Measurements counted = world.measurements;
+        assertEquals(0, counted.lateAnswers);
+        long restarts = world.sidecars.stream().mapToInt(ModelSidecar::life).sum();
+        long outAtTheEnd = counted.rootOffered - counted.rootServed - counted.rootFailed;
+        double mostOut = 150 * 2.1 + restarts * 30;
+        assertTrue(outAtTheEnd >= 0 && outAtTheEnd <= mostOut, outAtTheEnd + " of " + counted.rootOffered);
+    }
+}
--- /dev/null
+++ b/scale/src/test/java/gradehub/scale/result/SlopesTest.java
@@ -0,0 +1,49 @@
+package gradehub.scale.result;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The line through the figures of several sizes. */
+class SlopesTest {
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void fitsALineAndTellsTheRangeOfTheRatio() throws IOException {
+        try (ResultFiles files = ResultFiles.create(folder, true)) {
+            for (int size : new int[] {10, 20, 40}) {
+                files.add(new RunResult(
+                        "day",
+                        size,
+                        1,
+                        true,
+                        List.of(new RunResult.Figure("bytes", 5 + 3 * size, "B/s")),
+                        List.of(),
+                        List.of()));
+            }
+        }
+        Slopes.Slope slope = Slopes.read(folder.resolve(ResultFiles.SUMMARY)).get(0);
+        assertEquals(3, slope.slope(), 1e-9);
+        assertEquals(5, slope.intercept(), 1e-9);
+        assertEquals(3.125, slope.leastRatio(), 1e-9);
+        assertEquals(3.5, slope.mostRatio(), 1e-9);
+        assertEquals(Map.of(10, 35.0, 20, 65.0, 40, 125.0), slope.means());
+        assertEquals(3, slope.runs());
+    }
+
+    @Test
+    void numbersHaveSixDigits() {
+        assertEquals("0.333333", RunResult.format(1.0 / 3));
+        assertEquals("12345700", RunResult.format(12345678));
+        assertEquals("0", RunResult.format(0));
+        assertEquals("NaN", RunResult.format(Double.NaN));
+    }
+}
