--- /dev/null
+++ b/scale/src/test/java/gradehub/scale/model/ColdReturnTest.java
@@ -0,0 +1,76 @@
+package gradehub.scale.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gradehub.scale.TestExperiments;
+import gradehub.scale.experiment.Experiment;
+import gradehub.scale.experiment.Fault;
+import gradehub.scale.experiment.UpstreamModel;
+import gradehub.scale.result.RunResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What all sidecars together send to upstreams that have just started. */
+class ColdReturnTest {
+
+    private static final UpstreamModel MODEL = new UpstreamModel(2, 64, 1, 0.1, 20_000, 4, 2000);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aZoneThatReturnsToAFleetOf120IsNotPushedOver(long seed) {
+        Experiment fleet = TestExperiments.small().atSize(120).withSeed(seed);
+        RunResult result = new Simulation(
+                        TestExperiments.with(fleet, 3, 40, new Fault.ZoneLost(3, 10, "north-2")))
+                .run((seconds, calls) -> true);
+        assertEquals(0, result.figure("cold-falls"));
+        assertTrue(result.figure("cold-load-most") > 0, "cold upstreams are sent something");
+        assertTrue(result.figure("cold-load-most") <= 1, "at most " + result.figure("cold-load-most"));
+    }
+
+    @Test
+    void anUpstreamCanTakeItsBudgetWithSlackForChanceAndNoMore() {
+        ColdBudget budget = new ColdBudget(MODEL, 0.0001); // 100 a second when warm
+        budget.start(1_000_000);
+        assertTrue(budget.isCold(20_999_999));
+        assertFalse(budget.isCold(21_000_000));
+        assertEquals(0.1, budget.capacity(1_000_000), 1e-9);
+        assertEquals(0.55, budget.capacity(11_000_000), 1e-9);
+        assertEquals(1, budget.capacity(21_000_000), 1e-9);
+        double most = 80 + 2 * Math.sqrt(80) + 2; // 4 times a tenth of 100 a second, over 2 s
+        double load = 0;
+        for (int i = 0; i < 99; i++) {
+            load = budget.count(1_000_000, 1);
+        }
+        assertEquals(99 / most, load, 1e-9);
+        assertTrue(load <= 1);
+        assertTrue(budget.count(1_000_000, 1) > 1);
+        assertTrue(budget.count(3_000_001, 1) < 0.1, "the span has passed");
+    }
+
+    /** The rule bites: a fleet that knows nothing of cold upstreams pushes some of them over. */
+    @Test
+    void upstreamsThatCanTakeAlmostNothingFallAndStayDown() {
+        Experiment small = TestExperiments.small().atSize(120);
+        UpstreamModel frail = new UpstreamModel(2, 64, 1, 0.01, 20_000, 0.1, 2000);
+        Experiment experiment = new Experiment(
+                small.name(),
+                small.seed(),
+                3,
+                30,
+                small.fleet(),
+                small.network(),
+                frail,
+                small.calls(),
+                small.listService(),
+                java.util.List.of(new Fault.ZoneLost(3, 5, "north-2")));
+        World world = new World(experiment);
+        RunResult result = new Simulation(world).run((seconds, calls) -> true);
+        assertTrue(result.figure("cold-falls") > 0);
+        assertEquals(
+                result.figure("cold-falls"),
+                world.upstreams.stream().filter(upstream -> !upstream.isUp()).count());
+    }
+}
