--- a/scale/src/main/java/gradehub/scale/Main.java
+++ b/scale/src/main/java/gradehub/scale/Main.java
@@ -11,10 +11,15 @@
         description = "Experiments with the sidecar at the size of a whole fleet.",
         subcommands = {ModelCommand.class, CheckCommand.class, SlopesCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:the run has failed or was ended", "2:bad usage or a bad experiment file"})
+        exitCodeList = {
+            "0:done",
+            "1:the run has failed",
+            "2:bad usage or a bad experiment file",
+            "130:ended by an interrupt; what was measured is kept"
+        })
 public final class Main {
 
-    /** Exit code of a run that failed or was ended before its time. */
+    /** Exit code of a run that failed. */
     static final int FAILED = 1;
 
     /** Exit code for bad usage and bad experiment files. */
--- a/scale/src/main/java/gradehub/scale/model/Figures.java
+++ b/scale/src/main/java/gradehub/scale/model/Figures.java
@@ -3,8 +3,10 @@
 import gradehub.Balancer.Outcome;
 import gradehub.scale.result.RunResult;
 import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.ToLongFunction;
 import org.HdrHistogram.Histogram;
 
 /** Turns what was counted into named figures. */
@@ -29,6 +31,8 @@
         figures.calls();
         figures.attempts();
         figures.distances();
+        figures.spreads();
+        figures.zones();
         figures.listService();
         figures.cold();
         return new RunResult(
@@ -56,6 +60,11 @@
         add("root-latency-p99.9", counted.rootLatency.getValueAtPercentile(99.9) / 1000.0, "ms");
         add("repeated-tries", counted.repeats / seconds, "1/s");
         add("answers-after-deadline", counted.lateAnswers, "1");
+        for (ApplicationCall.Answer answer : ApplicationCall.Answer.values()) {
+            String name = answer.name().toLowerCase(Locale.ROOT);
+            add("sidecar-answers-" + name, ratio(counted.answers[answer.ordinal()], sum(counted.answers)), "1");
+        }
+        add("sidecar-answers-unsent", ratio(counted.unsent, sum(counted.answers)), "1");
     }
 
     private void attempts() {
@@ -65,6 +74,8 @@
         add("attempts-per-call", ratio(sum(counted.sentByLayer), sum(counted.callsByLayer)), "1");
         double plannedLeaves = counted.rootOffered * Math.pow(callsPerRequest, hops);
         add("leaf-attempts-per-planned", counted.arrivedByLayer[hops] / Math.max(1, plannedLeaves), "1");
+        double plannedPerSecond = plannedLeaves / seconds;
+        add("leaf-attempts-most-in-a-second", ratio(most(row -> row.leafAttempts), plannedPerSecond), "1");
         for (int layer = 1; layer <= hops; layer++) {
             double planned = counted.rootOffered * Math.pow(callsPerRequest, layer);
             add("attempts-per-planned-layer-" + layer, counted.sentByLayer[layer] / Math.max(1, planned), "1");
@@ -81,11 +92,43 @@
             String name = distance.name().toLowerCase(Locale.ROOT).replace('_', '-');
             add("sent-" + name, ratio(counted.sentByDistance[distance.ordinal()], sum(counted.sentByDistance)), "1");
         }
-        double spread = 0;
+    }
+
+    /** By the size of services: up to ten upstreams each sidecar's subset holds all of them, beyond that a part. */
+    private void spreads() {
+        int[] largest = {5, 10, Integer.MAX_VALUE};
+        String[] names = {"up-to-5", "6-to-10", "over-10"};
+        int smallest = 1;
+        for (int i = 0; i < largest.length; i++) {
+            DoubleSummaryStatistics ofSize = new DoubleSummaryStatistics();
+            for (Topology.Service service : world.topology.services) {
+                int size = service.machines().size();
+                if (service.layer() > 0 && size >= smallest && size <= largest[i]) {
+                    ofSize.accept(spread(service));
+                }
+            }
+            add("spread-mean-" + names[i], ofSize.getAverage(), "1");
+            add("spread-most-" + names[i], Math.max(0, ofSize.getMax()), "1");
+            smallest = largest[i] + 1;
+        }
+    }
+
+    /** What an upstream of a zone is sent over what one of the same service is sent in the mean. */
+    private void zones() {
+        double[] loads = new double[world.topology.zones.size()];
+        int[] machines = new int[loads.length];
         for (Topology.Service service : world.topology.services) {
-            spread = Math.max(spread, service.layer() == 0 ? 0 : spread(service));
+            double mean = arrived(service) / service.machines().size();
+            if (service.layer() > 0 && mean > 0) {
+                for (Topology.Machine machine : service.machines()) {
+                    loads[machine.zone()] += counted.arrivedByMachine[machine.number()] / mean;
+                    machines[machine.zone()]++;
+                }
+            }
+        }
+        for (Topology.Zone zone : world.topology.zones) {
+            add("zone-load-" + zone.name(), ratio(loads[zone.number()], machines[zone.number()]), "1");
         }
-        add("spread-most", spread, "1");
     }
 
     private void listService() {
@@ -118,6 +161,7 @@
 
     private void cold() {
         add("cold-load-most", counted.coldLoadMost, "1");
+        add("cold-attempts", counted.coldAttempts, "1");
         add("cold-falls", counted.coldFalls, "1");
     }
 
@@ -172,7 +216,7 @@
         return mean == 0 ? 0 : most / mean;
     }
 
-    private double most(java.util.function.ToLongFunction<Measurements.SecondRow> figure) {
+    private double most(ToLongFunction<Measurements.SecondRow> figure) {
         long most = 0;
         for (int i = (int) world.experiment.warmupSeconds(); i < counted.seconds.length; i++) {
             most = Math.max(most, figure.applyAsLong(counted.seconds[i]));
--- a/scale/src/main/java/gradehub/scale/model/Measurements.java
+++ b/scale/src/main/java/gradehub/scale/model/Measurements.java
@@ -17,6 +17,7 @@
     final long[] arrivedByLayer;
     final long[] arrivedByMachine;
     final long[] sentByDistance = new long[Network.Distance.values().length];
+    final long[] answers = new long[ApplicationCall.Answer.values().length];
     final long[] outcomes = new long[Outcome.values().length];
     final SecondRow[] seconds;
     long rootOffered;
@@ -25,6 +26,8 @@
     long repeats;
     long allCalls;
     long lateAnswers;
+    /** Requests that sidecars have answered without an attempt. */
+    long unsent;
     long logLines;
     long listCalls;
     long listCallsFailed;
@@ -34,6 +37,7 @@
     long listChanges;
     long listBusyMicros;
     long listLongestBacklogMicros;
+    long coldAttempts;
     long coldFalls;
     double coldLoadMost;
     final Histogram rootLatency = new Histogram(DIGITS);
@@ -130,17 +134,22 @@
         outcomes[outcome.ordinal()] += counts(nowMicros) ? 1 : 0;
     }
 
-    /** A sidecar has answered, this long after the deadline. */
-    void answered(long nowMicros, long lateMicros) {
-        lateAnswers += counts(nowMicros) && lateMicros > 0 ? 1 : 0;
+    /** A sidecar has answered, this long after the deadline; {@code sent} tells whether it has made an attempt. */
+    void answered(long nowMicros, long lateMicros, ApplicationCall.Answer answer, boolean sent) {
+        if (counts(nowMicros)) {
+            lateAnswers += lateMicros > 0 ? 1 : 0;
+            answers[answer.ordinal()]++;
+            unsent += sent ? 0 : 1;
+        }
     }
 
     void logged() {
         logLines++;
     }
 
-    /** A cold upstream bears this load against what it can take. */
+    /** An attempt has reached a cold upstream, which now bears this load against what it can take. */
     void coldLoad(double load) {
+        coldAttempts++;
         coldLoadMost = Math.max(coldLoadMost, load);
     }
 
--- a/scale/src/main/java/gradehub/scale/model/ServiceClient.java
+++ b/scale/src/main/java/gradehub/scale/model/ServiceClient.java
@@ -111,7 +111,8 @@
         }
         exchange.over = true;
         long nowMicros = world.queue.nowMicros();
-        world.measurements.answered(nowMicros, nowMicros - exchange.deadlineMicros);
+        boolean sent = !exchange.attempts.isEmpty();
+        world.measurements.answered(nowMicros, nowMicros - exchange.deadlineMicros, answer, sent);
         world.queue.after(world.network.model().localMicros(), now -> exchange.call.answered(now, answer));
     }
 
--- a/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
+++ b/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
@@ -75,11 +75,11 @@
     void aTenthThatFailsCostsHardlyARootCall() {
         Experiment small = TestExperiments.small();
         RunResult result =
-                play2(TestExperiments.with(small, 3, 10, new Fault.UpstreamsFail(1, 12, 4, 0.1, 1)));
+                result(TestExperiments.with(small, 3, 10, new Fault.UpstreamsFail(1, 12, 4, 0.1, 1)));
         assertTrue(result.figure("root-served-part") > 0.99, "served " + result.figure("root-served-part"));
     }
 
-    private static RunResult play2(Experiment experiment) {
+    private static RunResult result(Experiment experiment) {
         return new Simulation(experiment).run((seconds, calls) -> true);
     }
 }
