--- a/sidecar/src/main/java/gradehub/Balancer.java
+++ b/sidecar/src/main/java/gradehub/Balancer.java
@@ -145,6 +145,11 @@
             Objects.requireNonNull(status, "status");
             require(weight >= 0, "weight of an upstream must not be negative");
         }
+
+        /** The same upstream once it has left the list. */
+        public Upstream gone() {
+            return new Upstream(id, Status.GONE, startedMs, zone, kind, cell, weight);
+        }
     }
 
     /**
--- a/sidecar/src/main/java/gradehub/Call.java
+++ b/sidecar/src/main/java/gradehub/Call.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import gradehub.Balancer.Request;
+
 /** What {@link LoadShiftingBalancer} remembers of one request in hand. */
 final class Call {
 
@@ -26,7 +28,7 @@
     /** When its client's first try came. */
     double firstMs;
 
-    Call(Balancer.Request request, ClassView view, double value, long order, double aimUntilMs,
+    Call(Request request, ClassView view, double value, long order, double aimUntilMs,
             double usefulUntilMs) {
         this.id = request.id();
         this.view = view;
--- a/sidecar/src/main/java/gradehub/HostList.java
+++ b/sidecar/src/main/java/gradehub/HostList.java
@@ -72,8 +72,6 @@
     }
 
     private static void markGone(Host host) {
-        Upstream old = host.listed;
-        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(),
-                old.cell(), old.weight());
+        host.listed = host.listed.gone();
     }
 }
--- a/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
+++ b/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
@@ -88,8 +88,9 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        settings.classes().forEach(spec -> classes.add(
-                new ClassView(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
+        for (RequestClass spec : settings.classes()) {
+            classes.add(new ClassView(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec)));
+        }
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
@@ -130,12 +131,15 @@
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
     private double worth(ClassView view) {
         double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
-        boolean starved = view.served < WELL_SERVED * view.offered && classes.stream().noneMatch(
-                other -> other.served * view.offered < view.served * other.offered);
+        boolean starved = view.served < WELL_SERVED * view.offered && isServedWorst(view);
         double lift = starved ? settings.goal().worstClass() * offered / view.offered : 0;
         return settings.goal().whole() * view.spec.worth() + lift;
     }
 
+    private boolean isServedWorst(ClassView view) {
+        return classes.stream().noneMatch(other -> other.served * view.offered < view.served * other.offered);
+    }
+
     private void place(double nowMs, Call call) {
         if (call.usefulUntilMs - nowMs <= Math.max(call.view.typicalMs / 2, call.costMs)
                 || call.attempts.isEmpty() && sparse() && random.nextDouble() > THROTTLE * inTime.value()) {
@@ -363,7 +367,10 @@
     /** A keyed request that may have run goes only to the group that drops its repeats, within the window. */
     private boolean mayGoTo(double nowMs, Call call, Host host) {
         RequestClass spec = call.view.spec;
-        return spec.effect() != Effect.KEYED || call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
+        if (spec.effect() != Effect.KEYED) {
+            return true;
+        }
+        return call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
                 || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
     }
 
@@ -584,8 +591,10 @@
         double deadlineMs = view.spec.deadlineMs();
         boolean usual = view.patience.count(request.timeoutMs(), jitterMs(view.spec));
         double goneMs = Math.max(0, deadlineMs - request.timeoutMs());
-        boolean first = settings.repeatsMarked() ? !request.repeat()
-                : usual || !view.unserved.take(nowMs - goneMs);
+        if (settings.repeatsMarked()) {
+            return request.repeat() ? goneMs : 0;
+        }
+        boolean first = usual || !view.unserved.take(nowMs - goneMs);
         return first ? 0 : goneMs;
     }
 
@@ -613,8 +622,9 @@
         if (host.trials.failures >= STREAK) {
             setAside(nowMs, host, "it failed " + host.trials.failures + " times in a row");
         } else if (host.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
-            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed "
-                    + ofClass.failures + " times in a row; trying it now and then");
+            String failures = ofClass.failures + " times in a row";
+            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed " + failures
+                    + "; trying it now and then");
             ofClass.apart = true;
             ofClass.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
         }
