--- a/sidecar/src/main/java/gradehub/Attempt.java
+++ b/sidecar/src/main/java/gradehub/Attempt.java
@@ -8,6 +8,7 @@
     final Host host;
     /** The list entry at the time: it names the group that drops repeats. */
     final Balancer.Upstream sentTo;
+
     final double sentMs;
     final double timeoutMs;
     /** Null while it is out. */
--- a/sidecar/src/main/java/gradehub/Balancer.java
+++ b/sidecar/src/main/java/gradehub/Balancer.java
@@ -17,8 +17,7 @@
     void start(double nowMs);
 
     /** How many requests clients can have open at once. Called where it is known, before {@link #start}. */
-    default void clientRoom(int requests) {
-    }
+    default void clientRoom(int requests) {}
 
     /** Discovery says something about the upstreams; {@code entries} is empty for {@link ListKind#FAILED}. */
     void upstreams(double nowMs, ListKind kind, List<Upstream> entries);
@@ -39,12 +38,10 @@
     void timer(double nowMs, int token);
 
     /** A health probe has ended; of no concern to a balancer that asks for none. */
-    default void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {
-    }
+    default void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {}
 
     /** Another sidecar has sent a message; of no concern to a balancer that shares nothing. */
-    default void peerMessage(double nowMs, int sender, byte[] message) {
-    }
+    default void peerMessage(double nowMs, int sender, byte[] message) {}
 
     /** What a balancer may ask of its sidecar. */
     interface Actions {
@@ -93,7 +90,11 @@
     }
 
     /** What discovery says of an upstream. */
-    enum Status { DRAINING, READY, GONE }
+    enum Status {
+        DRAINING,
+        READY,
+        GONE
+    }
 
     /** How an attempt or a probe ended. */
     enum Outcome {
@@ -137,7 +138,11 @@
     }
 
     /** The upstreams that drop the repeats of a {@link Effect#KEYED} request. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** One upstream as discovery lists it; {@code startedMs} 0 means long ago. */
     record Upstream(int id, Status status, double startedMs, int zone, int kind, int cell, double weight) {
@@ -164,8 +169,14 @@
     }
 
     /** The end of one attempt; {@code requestDone} where the client has its final answer. */
-    record AttemptEnd(int request, int attempt, int upstream, Outcome outcome, double elapsedMs, boolean requestDone,
-                      double[] report) {
+    record AttemptEnd(
+            int request,
+            int attempt,
+            int upstream,
+            Outcome outcome,
+            double elapsedMs,
+            boolean requestDone,
+            double[] report) {
         public AttemptEnd {
             Objects.requireNonNull(outcome, "outcome");
             Objects.requireNonNull(report, "report");
@@ -173,8 +184,16 @@
     }
 
     /** A class of requests; {@code lateWorth} is the part of its worth that an answer after the aim still has. */
-    record RequestClass(String name, double aimMs, double deadlineMs, double worth, double lateWorth, Effect effect,
-                        Group group, double windowMs, boolean streamed) {
+    record RequestClass(
+            String name,
+            double aimMs,
+            double deadlineMs,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            Group group,
+            double windowMs,
+            boolean streamed) {
         public RequestClass {
             Objects.requireNonNull(effect, "effect");
             Objects.requireNonNull(group, "group");
@@ -207,13 +226,22 @@
     }
 
     /** How service is judged: weights of the whole, of the worst class and of the worst tenant. */
-    record Goal(double whole, double worstClass, double worstTenant) {
-    }
+    record Goal(double whole, double worstClass, double worstTenant) {}
 
     /** All that a balancer is told at the start; {@code reportsOnProbe} where load is reported to probes alone. */
-    record Settings(List<RequestClass> classes, List<Tenant> tenants, int sidecars, boolean askForList,
-                    boolean repeatsMarked, double tickMs, double overShareWorth, List<String> reportFields,
-                    boolean reportsOnProbe, Limits limits, Contract contract, Goal goal) {
+    record Settings(
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            int sidecars,
+            boolean askForList,
+            boolean repeatsMarked,
+            double tickMs,
+            double overShareWorth,
+            List<String> reportFields,
+            boolean reportsOnProbe,
+            Limits limits,
+            Contract contract,
+            Goal goal) {
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
--- a/sidecar/src/main/java/gradehub/Call.java
+++ b/sidecar/src/main/java/gradehub/Call.java
@@ -1,10 +1,9 @@
 package gradehub;
 
+import gradehub.Balancer.Request;
 import java.util.ArrayList;
 import java.util.List;
 
-import gradehub.Balancer.Request;
-
 /** What {@link LoadShiftingBalancer} remembers of one request in hand. */
 final class Call {
 
@@ -12,6 +11,7 @@
     final ClassView view;
     /** What an answer is worth where not all can be served, and its place in the order of arrival. */
     final double value;
+
     final long order;
     final double aimUntilMs;
     final double usefulUntilMs;
@@ -20,6 +20,7 @@
     int out;
     /** Servers asked for their load on behalf of this request; the one asked now, or null, and since when. */
     int asks;
+
     Host asked;
     double askedMs;
     boolean done;
@@ -28,8 +29,7 @@
     /** When its client's first try came. */
     double firstMs;
 
-    Call(Request request, ClassView view, double value, long order, double aimUntilMs,
-            double usefulUntilMs) {
+    Call(Request request, ClassView view, double value, long order, double aimUntilMs, double usefulUntilMs) {
         this.id = request.id();
         this.view = view;
         this.value = value;
--- a/sidecar/src/main/java/gradehub/ClassView.java
+++ b/sidecar/src/main/java/gradehub/ClassView.java
@@ -6,12 +6,15 @@
     final Balancer.RequestClass spec;
     /** The running median of latencies, and what it was when the servers were quiet. */
     double typicalMs;
+
     double quietMs;
     /** The running tail of latencies, in typical ones. */
     double tail = 8;
+
     int answers;
     /** Requests that came and requests served, older ones counting less. */
     double offered;
+
     double served;
     /** The patience that most first tries state. */
     final MajorityVote patience = new MajorityVote();
--- a/sidecar/src/main/java/gradehub/Host.java
+++ b/sidecar/src/main/java/gradehub/Host.java
@@ -16,27 +16,34 @@
     double share;
     /** Latencies of this tick, and of earlier ones where they are few, over the class's typical one. */
     double latencySum;
+
     double samples;
     /** Their mean at the last tick, and how far it can be trusted. */
     double tickLatency;
+
     double trust;
     /** Latency over the quiet one of its class: smoothed, and when this upstream is quiet itself. */
     double smoothRatio = 1;
+
     double quietRatio = 1;
     /** Attempts that may be out at once; below one it sets a pace. */
     double window;
+
     double nextSendMs;
     int out;
     /** Attempts still out, oldest first, but for started streams. */
     final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
+
     double heardMs;
     /** Quiet latencies that a request sent at the latest report would take, and when that was. */
     double load;
+
     double reportMs = Double.NEGATIVE_INFINITY;
     /** Why it is set aside; null while it is not. */
     String setAside;
     /** Of it as a whole, and of the classes that have been sent to it. */
     final Trials trials = new Trials();
+
     private final Map<ClassView, Trials> classTrials = new HashMap<>();
     final TokenBucket coldRoom = new TokenBucket();
 
--- a/sidecar/src/main/java/gradehub/HostList.java
+++ b/sidecar/src/main/java/gradehub/HostList.java
@@ -1,14 +1,13 @@
 package gradehub;
 
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Status;
+import gradehub.Balancer.Upstream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import gradehub.Balancer.ListKind;
-import gradehub.Balancer.Status;
-import gradehub.Balancer.Upstream;
-
 /** The upstreams that discovery has named, in the order in which they came, and the subset drawn from. */
 final class HostList {
 
--- a/sidecar/src/main/java/gradehub/ListTimes.java
+++ b/sidecar/src/main/java/gradehub/ListTimes.java
@@ -21,6 +21,5 @@
     /** The longest wait from the end of a call to the next one, what chance adds to it included. */
     public static final double PAUSE_MS = TOLD_MS - SILENCE_MS - CONNECT_MS - ANSWER_MS;
 
-    private ListTimes() {
-    }
+    private ListTimes() {}
 }
--- a/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
+++ b/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
@@ -63,8 +63,8 @@
     private final HostList list = new HostList();
     private final List<Host> members = list.members;
     private final Map<Integer, Call> calls = new HashMap<>();
-    private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
-            .thenComparingLong(call -> -call.order));
+    private final TreeSet<Call> waiting = new TreeSet<>(
+            Comparator.comparingDouble((Call call) -> -call.value).thenComparingLong(call -> -call.order));
     private long received;
     private double meanCostMs; // of the requests that came with a hint
     private long hinted;
@@ -130,7 +130,9 @@
 
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
     private double worth(ClassView view) {
-        double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
+        double offered = classes.stream()
+                .mapToDouble(other -> other.offered * other.spec.worth())
+                .sum();
         boolean starved = view.served < WELL_SERVED * view.offered && isServedWorst(view);
         double lift = starved ? settings.goal().worstClass() * offered / view.offered : 0;
         return settings.goal().whole() * view.spec.worth() + lift;
@@ -164,7 +166,8 @@
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
     private Host pick(double nowMs, Call call) {
-        long faulty = members.stream().filter(host -> avoided(nowMs, call, host)).count();
+        long faulty =
+                members.stream().filter(host -> avoided(nowMs, call, host)).count();
         boolean avoid = 2 * faulty <= members.size();
         Host drawn = null; // each replaces the one before with its part of the sum so far: a draw by weight
         double sum = 0;
@@ -235,7 +238,8 @@
     private void fillSubset(double nowMs) {
         List<Host> candidates = list.candidates();
         list.normalise();
-        double weights = members.stream().mapToDouble(host -> host.listed.weight()).sum();
+        double weights =
+                members.stream().mapToDouble(host -> host.listed.weight()).sum();
         while (!candidates.isEmpty()) {
             Host host = candidates.remove(random.nextInt(candidates.size()));
             boolean full = members.size() >= subsetSize();
@@ -280,8 +284,10 @@
         shed = 0;
         if (yielded > 0 != yielding) {
             yielding = yielded > 0;
-            actions.log(yielding ? "clients run out of connections: refusing what is worth least for its time"
-                    : "clients have connections left again");
+            actions.log(
+                    yielding
+                            ? "clients run out of connections: refusing what is worth least for its time"
+                            : "clients have connections left again");
         }
         yielded = 0;
     }
@@ -359,7 +365,8 @@
     }
 
     private boolean mayResend(double nowMs, Call call) {
-        return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
+        return extra >= 1
+                && call.attempts.size() < settings.limits().maxAttempts()
                 && call.usefulUntilMs - nowMs >= call.view.typicalMs
                 && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
@@ -370,14 +377,16 @@
         if (spec.effect() != Effect.KEYED) {
             return true;
         }
-        return call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
-                || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
+        return call.attempts.stream()
+                .allMatch(sent -> !sent.mayHaveRun()
+                        || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
     }
 
     private void giveUp(Call call) {
         // A refusal says that coming again is harmless.
         Effect effect = call.view.spec.effect();
-        if (effect == Effect.SAFE || effect == Effect.KEYED && call.view.spec.group() == Group.ALL
+        if (effect == Effect.SAFE
+                || effect == Effect.KEYED && call.view.spec.group() == Group.ALL
                 || call.provenNotRun()) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
         } else {
@@ -443,7 +452,8 @@
 
     private boolean hasRoom(double nowMs, Call call, Host host) {
         double warmth = warmth(nowMs, host);
-        return host.out < Math.max(1, host.window * warmth) && nowMs >= host.nextSendMs
+        return host.out < Math.max(1, host.window * warmth)
+                && nowMs >= host.nextSendMs
                 && (warmth >= 1 || call.attempts.isEmpty() && coldRoom(nowMs, host, warmth));
     }
 
@@ -456,7 +466,8 @@
         Contract contract = settings.contract();
         double rate = Math.min(COLD_RATE, contract.overloadFactor() / 2);
         double spanMs = Math.max(TICK_MS / 4, contract.overloadMs());
-        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
+        double weights =
+                members.stream().mapToDouble(member -> member.listed.weight()).sum();
         double part = weights > 0 ? host.listed.weight() / weights : 1.0 / members.size();
         double lapseMs = spanMs * (contract.overloadFactor() - rate) / rate;
         return host.coldRoom.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
@@ -543,8 +554,9 @@
     }
 
     private void shedWaiting(double nowMs) {
-        List<Call> late = waiting.stream().filter(call -> call.usefulUntilMs - nowMs
-                <= Math.max(controlMs, lastCallMs(call.view))).toList();
+        List<Call> late = waiting.stream()
+                .filter(call -> call.usefulUntilMs - nowMs <= Math.max(controlMs, lastCallMs(call.view)))
+                .toList();
         shed += late.size();
         late.forEach(waiting::remove);
         late.forEach(this::giveUp);
@@ -568,15 +580,20 @@
         if (clientRoom == 0 || left >= kept) {
             return false;
         }
-        Call least = waiting.stream().min(Comparator.comparingDouble(Call::worthPerMs)).orElse(call);
+        Call least = waiting.stream()
+                .min(Comparator.comparingDouble(Call::worthPerMs))
+                .orElse(call);
         if (least.worthPerMs() < call.worthPerMs()) {
             waiting.remove(least);
             giveUp(least);
             yielded++;
             return false;
         }
-        double best = classes.stream().filter(view -> view.offered > 0)
-                .mapToDouble(view -> worth(view) / view.typicalMs).max().orElse(0);
+        double best = classes.stream()
+                .filter(view -> view.offered > 0)
+                .mapToDouble(view -> worth(view) / view.typicalMs)
+                .max()
+                .orElse(0);
         boolean yields = left < kept * (1 - call.worthPerMs() / best);
         yielded += yields ? 1 : 0;
         return yields;
--- a/sidecar/src/main/java/gradehub/Main.java
+++ b/sidecar/src/main/java/gradehub/Main.java
@@ -1,5 +1,8 @@
 package gradehub;
 
+import gradehub.benchlink.BenchLink;
+import gradehub.node.Rehearsal;
+import gradehub.node.Sidecar;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -7,18 +10,13 @@
 import java.io.OutputStream;
 import java.util.Arrays;
 
-import gradehub.benchlink.BenchLink;
-import gradehub.node.Rehearsal;
-import gradehub.node.Sidecar;
-
 /**
  * {@code serve} runs the sidecar on sockets, {@code benchlink} plays the simulator's wire on standard streams, and
  * {@code rehearse} is a part of the build: see {@link Rehearsal}.
  */
 public final class Main {
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) throws Exception {
         if (args.length == 1 && args[0].equals("serve")) {
--- a/sidecar/src/main/java/gradehub/SettingsReader.java
+++ b/sidecar/src/main/java/gradehub/SettingsReader.java
@@ -1,10 +1,5 @@
 package gradehub;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import gradehub.Balancer.Contract;
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
@@ -13,6 +8,10 @@
 import gradehub.Balancer.RequestClass;
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Tenant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * Reads settings by path, for the simulator's adapter and for the sidecar on sockets alike. What is missing gets the
@@ -38,7 +37,9 @@
         text.lines().forEach(line -> {
             int split = line.indexOf('=');
             if (split > 0) {
-                values.put(line.substring(0, split).trim(), line.substring(split + 1).trim());
+                values.put(
+                        line.substring(0, split).trim(),
+                        line.substring(split + 1).trim());
             }
         });
         return new SettingsReader(values);
@@ -53,22 +54,37 @@
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < count("tenants.count"); i++) {
             String path = "tenants." + i + ".";
-            tenants.add(new Tenant(word(path + "name", "tenant-" + i), number(path + "portion", 0),
-                    number(path + "quotaPerS", 0)));
+            tenants.add(new Tenant(
+                    word(path + "name", "tenant-" + i), number(path + "portion", 0), number(path + "quotaPerS", 0)));
         }
         List<String> fields = "off".equals(word("report.via", "off")) ? List.of() : words("report.fields");
-        Limits limits = new Limits((int) number("limits.maxAttempts", 1), flag("limits.secondCopies"),
-                flag("limits.cancel"), flag("limits.probing"),
+        Limits limits = new Limits(
+                (int) number("limits.maxAttempts", 1),
+                flag("limits.secondCopies"),
+                flag("limits.cancel"),
+                flag("limits.probing"),
                 flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
-        Contract contract = new Contract(number("contract.coldFrom", COLD_FROM_UNKNOWN),
-                number("contract.coldMs", COLD_MS_UNKNOWN), number("contract.overloadFactor", 1),
-                number("contract.fallMs", 0), number("contract.askEveryMs", ASK_EVERY_MS_UNKNOWN));
-        Goal goal = new Goal(number("scoringMix.whole", 1), number("scoringMix.worstClass", 0),
-                number("scoringMix.worstTenant", 0));
-        return new Settings(classes, tenants, (int) number("instances", 1),
-                "ask".equals(word("membershipMode", "push")), flag("clients.marksRetry"),
-                number("tickMs", 0), number("overShareWorth", 1), fields,
-                "on_probe".equals(word("report.via", "off")), limits, contract, goal);
+        Contract contract = new Contract(
+                number("contract.coldFrom", COLD_FROM_UNKNOWN),
+                number("contract.coldMs", COLD_MS_UNKNOWN),
+                number("contract.overloadFactor", 1),
+                number("contract.fallMs", 0),
+                number("contract.askEveryMs", ASK_EVERY_MS_UNKNOWN));
+        Goal goal = new Goal(
+                number("scoringMix.whole", 1), number("scoringMix.worstClass", 0), number("scoringMix.worstTenant", 0));
+        return new Settings(
+                classes,
+                tenants,
+                (int) number("instances", 1),
+                "ask".equals(word("membershipMode", "push")),
+                flag("clients.marksRetry"),
+                number("tickMs", 0),
+                number("overShareWorth", 1),
+                fields,
+                "on_probe".equals(word("report.via", "off")),
+                limits,
+                contract,
+                goal);
     }
 
     private RequestClass requestClass(String path) {
@@ -86,9 +102,16 @@
             case "zone" -> Group.ZONE;
             default -> Group.CELL;
         };
-        return new RequestClass(word(path + "name", "class"), number(path + "aimMs", deadlineMs), deadlineMs,
-                number(path + "worth", 1), number(path + "lateWorth", 0), effect, group,
-                number(path + "windowMs", 0), flag(path + "streaming"));
+        return new RequestClass(
+                word(path + "name", "class"),
+                number(path + "aimMs", deadlineMs),
+                deadlineMs,
+                number(path + "worth", 1),
+                number(path + "lateWorth", 0),
+                effect,
+                group,
+                number(path + "windowMs", 0),
+                flag(path + "streaming"));
     }
 
     /** A list of plain words; empty where the settings do not give it. */
--- a/sidecar/src/main/java/gradehub/Trials.java
+++ b/sidecar/src/main/java/gradehub/Trials.java
@@ -6,6 +6,7 @@
     int failures;
     /** Whether it is set aside for the class that these trials are of. */
     boolean apart;
+
     double atMs;
     private double gapMs;
     private double longestGapMs;
--- a/sidecar/src/main/java/gradehub/benchlink/Batch.java
+++ b/sidecar/src/main/java/gradehub/benchlink/Batch.java
@@ -35,8 +35,8 @@
         }
         long length = Integer.toUnsignedLong(header.getInt(8)) - (HEADER_BYTES - LENGTH_END);
         if (length < 0 || length > MAX_BYTES) {
-            throw new MalformedFrameException("batch " + number() + ": length field " + (length + 8)
-                    + " is outside 8 to " + MAX_BYTES);
+            throw new MalformedFrameException(
+                    "batch " + number() + ": length field " + (length + 8) + " is outside 8 to " + MAX_BYTES);
         }
         if (length > body.capacity()) {
             body = little(new byte[(int) Math.min(MAX_BYTES, 2 * length)]);
@@ -44,8 +44,8 @@
         body.clear().limit((int) length);
         int read = in.readNBytes(body.array(), 0, (int) length);
         if (read < length) {
-            throw new MalformedFrameException("batch " + number() + ": input ends after " + read + " of " + length
-                    + " bytes");
+            throw new MalformedFrameException(
+                    "batch " + number() + ": input ends after " + read + " of " + length + " bytes");
         }
         return true;
     }
--- a/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
+++ b/sidecar/src/main/java/gradehub/benchlink/BenchLink.java
@@ -1,14 +1,5 @@
 package gradehub.benchlink;
 
-import java.io.EOFException;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import gradehub.Balancer;
 import gradehub.Balancer.AttemptEnd;
 import gradehub.Balancer.ListKind;
@@ -18,6 +9,14 @@
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
 import gradehub.SettingsReader;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Hosts many balancers behind the simulator's wire: reads batches, passes events on, writes one reply to each. */
 public final class BenchLink {
@@ -43,6 +42,7 @@
     private final Map<Integer, Balancer> balancers = new HashMap<>();
     /** How many classes each instance was told of. */
     private final Map<Integer, Integer> classes = new HashMap<>();
+
     private final List<List<Upstream>> banks = new ArrayList<>();
 
     public BenchLink(Factory factory, InputStream in, OutputStream out) {
@@ -127,8 +127,12 @@
                 int tenant = batch.u32();
                 double hintMs = batch.f64();
                 double costMs = (flags & HINT_FLAG) != 0 && hintMs > 0 ? hintMs : 0;
-                tell(instance, balancer, () -> balancer.request(now,
-                        new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, costMs)));
+                tell(
+                        instance,
+                        balancer,
+                        () -> balancer.request(
+                                now,
+                                new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, costMs)));
             }
             case 4 -> {
                 int id = batch.u32();
@@ -145,8 +149,11 @@
                 int attempt = batch.u8();
                 Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
                 double[] report = report();
-                tell(instance, balancer, () -> balancer.attemptEnded(now,
-                        new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
+                tell(
+                        instance,
+                        balancer,
+                        () -> balancer.attemptEnded(
+                                now, new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
             }
             case 6 -> {
                 int id = batch.u32();
--- a/sidecar/src/main/java/gradehub/benchlink/Reply.java
+++ b/sidecar/src/main/java/gradehub/benchlink/Reply.java
@@ -1,5 +1,6 @@
 package gradehub.benchlink;
 
+import gradehub.Balancer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
@@ -7,8 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-import gradehub.Balancer;
-
 /** Collects the actions of all instances for one batch and writes them as one frame. */
 final class Reply {
 
--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -1,13 +1,7 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Locale;
-import java.util.concurrent.TimeUnit;
-
+import gradehub.node.ClientRequest.RejectedException;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -20,8 +14,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-
-import gradehub.node.ClientRequest.RejectedException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Locale;
 
 /** One connection of a client: its requests, the answers to them in their order, and its end. */
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> implements RequestDecoder.Input {
@@ -39,6 +35,7 @@
     private static final double READ_MS = 5000;
     /** After an error what still comes is read for a while: a close with unread input would destroy the error. */
     static final double DRAIN_MS = 500;
+
     private static final int DRAIN_BYTES = 1 << 18;
     /** Requests in hand, beyond which no more is read. */
     private static final int MOST_OWED = 4;
@@ -48,6 +45,7 @@
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     /** Since when the client has been silent, sending, or not reading, in this order of the fields; 0 where not. */
     private double restsSinceMs;
+
     private double sendsSinceMs;
     private double writesSinceMs;
     private double drainsSinceMs;
@@ -83,8 +81,10 @@
                 message.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.type());
             }
             if (answer.retryAfterMs() > 0) {
-                message.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", answer.retryAfterMs() / 1000));
+                message.headers()
+                        .set(
+                                HttpHeaderNames.RETRY_AFTER,
+                                String.format(Locale.ROOT, "%.3f", answer.retryAfterMs() / 1000));
             }
             answer(message);
         }
@@ -110,8 +110,8 @@
     }
 
     private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(body));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         HttpUtil.setContentLength(response, body.length);
         return response;
     }
@@ -166,8 +166,8 @@
         owed.add(next);
         readWhileThereIsRoom();
         if (server.isReadyCheck(message)) {
-            next.answer(response(server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    new byte[0]));
+            next.answer(response(
+                    server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]));
         } else {
             take(message, next);
         }
@@ -241,8 +241,10 @@
     /** Makes room if it can: it carries nothing, has not for a while, or never has. Returns whether it does. */
     boolean makeRoom(double nowMs) {
         boolean ending = drainsSinceMs > 0 && writing == 0;
-        boolean canGo = ending || carriesNothing() && (restsSinceMs > 0 && nowMs - restsSinceMs > REST_MS
-                || silent && nowMs - sendsSinceMs > SILENT_MS);
+        boolean canGo = ending
+                || carriesNothing()
+                        && (restsSinceMs > 0 && nowMs - restsSinceMs > REST_MS
+                                || silent && nowMs - sendsSinceMs > SILENT_MS);
         if (!canGo || !channel.isQuiet()) {
             return false;
         }
@@ -261,7 +263,8 @@
         if (drainsSinceMs > 0 && nowMs - drainsSinceMs > DRAIN_MS
                 || writesSinceMs > 0 && nowMs - writesSinceMs > READ_MS) {
             close();
-        } else if (sendsSinceMs > 0 && nowMs - Math.max(sendsSinceMs, server.closingSinceMs()) > requestMs()
+        } else if (sendsSinceMs > 0
+                && nowMs - Math.max(sendsSinceMs, server.closingSinceMs()) > requestMs()
                 && isReadUp()) {
             if (silent) {
                 end();
--- a/sidecar/src/main/java/gradehub/node/ClientKeeper.java
+++ b/sidecar/src/main/java/gradehub/node/ClientKeeper.java
@@ -1,13 +1,12 @@
 package gradehub.node;
 
+import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoop;
-
 /**
  * Which of the clients' connections stay. Each holds a descriptor: those that say nothing, send without end or do not
  * read are ended in time, and where room is short those at rest too, the longest unused first.
@@ -16,6 +15,7 @@
 
     /** Of what clients may hold, kept free for those that come. */
     private static final int SPARE = 32;
+
     private static final long LOOK_MS = 50;
 
     private final Clock clock;
--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -1,12 +1,11 @@
 package gradehub.node;
 
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-
 /** Accepts clients on channels that can be looked at. */
 final class ClientListener extends NioServerSocketChannel {
 
--- a/sidecar/src/main/java/gradehub/node/ClientRequest.java
+++ b/sidecar/src/main/java/gradehub/node/ClientRequest.java
@@ -1,21 +1,28 @@
 package gradehub.node;
 
-import java.util.List;
-
+import gradehub.Balancer.Effect;
+import gradehub.Balancer.RequestClass;
+import gradehub.Balancer.Settings;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-
-import gradehub.Balancer.Effect;
-import gradehub.Balancer.RequestClass;
-import gradehub.Balancer.Settings;
+import java.util.List;
 
 /** What a client asks for, checked; {@code headers} are those that go on to an upstream. */
-record ClientRequest(String id, int requestClass, int tenant, double remainingMs, boolean repeat, double costMs,
-                     HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+record ClientRequest(
+        String id,
+        int requestClass,
+        int tenant,
+        double remainingMs,
+        boolean repeat,
+        double costMs,
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        byte[] body) {
 
     static final String ID = "X-Txn";
     static final String REMAINING = "X-Remaining-Ms";
@@ -27,10 +34,18 @@
     private static final int ID_DIGITS = 16;
     private static final int MOST_DIGITS = 15;
     /** They speak of one connection, or are written anew for the next. */
-    private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION, "Keep-Alive",
-            HttpHeaderNames.PROXY_AUTHENTICATE, HttpHeaderNames.PROXY_AUTHORIZATION, HttpHeaderNames.TE,
-            HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
-            HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.EXPECT, REMAINING);
+    private static final List<CharSequence> HOP_BY_HOP = List.of(
+            HttpHeaderNames.CONNECTION,
+            "Keep-Alive",
+            HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION,
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.CONTENT_LENGTH,
+            HttpHeaderNames.EXPECT,
+            REMAINING);
 
     /** A request that no upstream should see; it is answered with this status. */
     static final class RejectedException extends Exception {
@@ -56,8 +71,16 @@
         checkMethod(message, spec);
         double remainingMs = Math.min(number(headers, REMAINING, spec.deadlineMs()), spec.deadlineMs());
         double costMs = Math.min(number(headers, ESTIMATE_US, 0) / 1000, spec.deadlineMs());
-        return new ClientRequest(id, requestClass, tenant(headers.get(TENANT), settings), remainingMs,
-                "1".equals(headers.get(REPEAT)), costMs, message.method(), message.uri(), forwarded(headers),
+        return new ClientRequest(
+                id,
+                requestClass,
+                tenant(headers.get(TENANT), settings),
+                remainingMs,
+                "1".equals(headers.get(REPEAT)),
+                costMs,
+                message.method(),
+                message.uri(),
+                forwarded(headers),
                 ByteBufUtil.getBytes(message.content()));
     }
 
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -1,10 +1,7 @@
 package gradehub.node;
 
-import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
-import java.util.function.BooleanSupplier;
-
+import gradehub.Balancer.Settings;
+import gradehub.node.ClientRequest.RejectedException;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -16,9 +13,10 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-
-import gradehub.Balancer.Settings;
-import gradehub.node.ClientRequest.RejectedException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /** The application's side: accepts connections while there is room, and hands their requests to the engine. */
 final class ClientServer {
@@ -35,11 +33,17 @@
     private final ClientKeeper keeper;
     /** The identifiers of the requests that have no answer yet. */
     private final Set<String> ids = new HashSet<>();
+
     private ClientListener listener;
     /** Since when each answer is the last on its connection; 0 where it is not. */
     private double closingSinceMs;
 
-    ClientServer(EventLoop loop, Clock clock, Settings settings, Engine engine, SocketBudget sockets,
+    ClientServer(
+            EventLoop loop,
+            Clock clock,
+            Settings settings,
+            Engine engine,
+            SocketBudget sockets,
             BooleanSupplier hasList) {
         this.loop = loop;
         this.clock = clock;
@@ -52,7 +56,9 @@
     }
 
     ChannelFuture bind(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(ClientListener::new)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(ClientListener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, oneAtATime())
@@ -60,12 +66,17 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        ClientConnection connection = new ClientConnection((LookingChannel) channel,
-                                ClientServer.this);
-                        channel.pipeline().addLast(new RequestDecoder(connection), new HttpResponseEncoder(),
-                                new RequestGuard(), RequestGuard.joining(), connection);
+                        ClientConnection connection = new ClientConnection((LookingChannel) channel, ClientServer.this);
+                        channel.pipeline()
+                                .addLast(
+                                        new RequestDecoder(connection),
+                                        new HttpResponseEncoder(),
+                                        new RequestGuard(),
+                                        RequestGuard.joining(),
+                                        connection);
                     }
-                }).bind(address);
+                })
+                .bind(address);
         listener = (ClientListener) bound.channel();
         return bound;
     }
@@ -128,7 +139,8 @@
     }
 
     boolean isReadyCheck(FullHttpRequest message) {
-        return ClientRequest.firstPart(message.uri()).equals(READY) && !message.headers().contains(ClientRequest.ID);
+        return ClientRequest.firstPart(message.uri()).equals(READY)
+                && !message.headers().contains(ClientRequest.ID);
     }
 
     ClientRequest read(FullHttpRequest message) throws RejectedException {
--- a/sidecar/src/main/java/gradehub/node/Config.java
+++ b/sidecar/src/main/java/gradehub/node/Config.java
@@ -1,5 +1,10 @@
 package gradehub.node;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gradehub.Balancer.Settings;
+import gradehub.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -8,17 +13,19 @@
 import java.util.Iterator;
 import java.util.Map;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-
-import gradehub.Balancer.Settings;
-import gradehub.SettingsReader;
-
 /** What the platform tells a sidecar at its start. Keys that are not known here are left alone. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
-              Settings settings, MemberReader members, double connectTimeoutMs, double idleMs, double slackMs,
-              double drainGraceMs) {
+record Config(
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        JsonNode known,
+        Settings settings,
+        MemberReader members,
+        double connectTimeoutMs,
+        double idleMs,
+        double slackMs,
+        double drainGraceMs) {
 
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -56,11 +63,18 @@
         flatten("", root.get("settings"), values);
         SettingsReader reader = new SettingsReader(values);
         try {
-            return new Config(address(root, "listen"), address(root, "discovery"), seed(root), sockets(root),
-                    root.path("known"), reader.settings(),
+            return new Config(
+                    address(root, "listen"),
+                    address(root, "discovery"),
+                    seed(root),
+                    sockets(root),
+                    root.path("known"),
+                    reader.settings(),
                     new MemberReader(reader.words("failureDomains"), reader.words("kinds")),
-                    reader.number("limits.connectTimeoutMs", 250), reader.number("limits.connIdleMs", 15_000),
-                    reader.number("contract.answerSlackMs", 0), reader.number("contract.drainGraceMs", 500));
+                    reader.number("limits.connectTimeoutMs", 250),
+                    reader.number("limits.connIdleMs", 15_000),
+                    reader.number("contract.answerSlackMs", 0),
+                    reader.number("contract.drainGraceMs", 500));
         } catch (IllegalArgumentException e) {
             throw new BadConfigException("settings: " + e.getMessage());
         }
@@ -78,7 +92,7 @@
             }
         } else if (node.isArray()) {
             StringBuilder words = new StringBuilder();
-            for (Iterator<JsonNode> items = node.elements(); items.hasNext();) {
+            for (Iterator<JsonNode> items = node.elements(); items.hasNext(); ) {
                 words.append(items.next().asText()).append(items.hasNext() ? "," : "");
             }
             values.put(path, words.toString());
--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -1,12 +1,9 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
-
 import com.fasterxml.jackson.databind.JsonNode;
-
+import gradehub.Balancer.ListKind;
+import gradehub.ListTimes;
+import gradehub.node.MemberReader.Update;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -27,10 +24,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-
-import gradehub.Balancer.ListKind;
-import gradehub.ListTimes;
-import gradehub.node.MemberReader.Update;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The list of upstreams. Where lists are pushed, a watch is kept open at all times; where they are asked for, the
@@ -56,6 +53,7 @@
     private final Engine engine;
     /** The latest list from this address, or -1: another address may count in its own way. */
     private long revision = -1;
+
     private boolean listed;
     private boolean watching;
     private Call watch;
@@ -177,7 +175,9 @@
                 loop.execute(() -> ended(this)); // once it is known as the watch
                 return;
             }
-            ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
+            ChannelFuture connecting = new Bootstrap()
+                    .group(loop)
+                    .channelFactory(() -> channel)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMs))
                     .handler(new ChannelInitializer<Channel>() {
@@ -185,7 +185,8 @@
                         protected void initChannel(Channel made) {
                             made.pipeline().addLast(new HttpClientCodec(), Call.this);
                         }
-                    }).connect(target);
+                    })
+                    .connect(target);
             connecting.addListener(connected -> {
                 if (connected.isSuccess()) {
                     ask();
@@ -213,10 +214,12 @@
 
         private void ask() {
             String from = revision >= 0 ? "&from=" + revision : "";
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    watch ? LIST + "?watch=1" + from : LIST, Unpooled.EMPTY_BUFFER);
-            request.headers().set(HttpHeaderNames.HOST, target.getAddress().getHostAddress() + ":"
-                    + target.getPort());
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.GET,
+                    watch ? LIST + "?watch=1" + from : LIST,
+                    Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, target.getAddress().getHostAddress() + ":" + target.getPort());
             channel.writeAndFlush(request);
         }
 
@@ -232,8 +235,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             heardNanos = System.nanoTime();
-            if (message.decoderResult().isFailure() || message instanceof HttpResponse response
-                    && !response.status().equals(HttpResponseStatus.OK)) {
+            if (message.decoderResult().isFailure()
+                    || message instanceof HttpResponse response
+                            && !response.status().equals(HttpResponseStatus.OK)) {
                 channel.close();
                 return;
             }
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -1,21 +1,5 @@
 package gradehub.node;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleConsumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
-import java.util.stream.Collectors;
-
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
-
 import gradehub.Balancer;
 import gradehub.Balancer.AttemptEnd;
 import gradehub.Balancer.Effect;
@@ -28,6 +12,20 @@
 import gradehub.Balancer.Upstream;
 import gradehub.node.MemberReader.Member;
 import gradehub.node.MemberReader.Update;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Owns the decision module: tells it what happens on the sockets and does what it asks for. All of it runs on the one
@@ -60,6 +58,7 @@
         private int out;
         /** Answered, or left by its client: nothing is owed any more and nothing more is sent for it. */
         private boolean over;
+
         private Future<?> overdue;
 
         private Exchange(int id, ClientRequest request, Client client, double deadlineMs) {
@@ -75,8 +74,7 @@
     }
 
     /** Something that the module is to be told; {@code about} is null where it concerns no single request. */
-    private record Event(Exchange about, DoubleConsumer telling) {
-    }
+    private record Event(Exchange about, DoubleConsumer telling) {}
 
     private static final System.Logger LOG = System.getLogger("gradehub");
     private static final double[] NO_REPORT = {};
@@ -95,7 +93,12 @@
     private int lastRequest;
     private int lastMember;
 
-    Engine(EventLoop loop, Clock clock, Config config, SocketBudget sockets, Supplier<LookingChannel> opened,
+    Engine(
+            EventLoop loop,
+            Clock clock,
+            Config config,
+            SocketBudget sockets,
+            Supplier<LookingChannel> opened,
             Function<Balancer.Actions, Balancer> module) {
         this.loop = loop;
         this.clock = clock;
@@ -136,8 +139,17 @@
             LOG.log(System.Logger.Level.WARNING, "a request was left unanswered up to its deadline");
             abandon(exchange);
         });
-        tell(exchange, now -> balancer.request(now, new Request(exchange.id, request.requestClass(),
-                request.tenant(), exchange.deadlineMs - now, request.repeat(), request.costMs())));
+        tell(
+                exchange,
+                now -> balancer.request(
+                        now,
+                        new Request(
+                                exchange.id,
+                                request.requestClass(),
+                                request.tenant(),
+                                exchange.deadlineMs - now,
+                                request.repeat(),
+                                request.costMs())));
         return exchange;
     }
 
@@ -161,8 +173,9 @@
     private boolean isHarmless(Upstreams.Attempt attempt) {
         RequestClass spec = settings.classes().get(attempt.exchange.request.requestClass());
         double sinceMs = clock.nowMs() - spec.windowMs();
-        return spec.effect() != Effect.KEYED || attempt.exchange.attempts.stream()
-                .allMatch(other -> other == attempt || !other.mayHaveRun() || other.sentMs > sinceMs);
+        return spec.effect() != Effect.KEYED
+                || attempt.exchange.attempts.stream()
+                        .allMatch(other -> other == attempt || !other.mayHaveRun() || other.sentMs > sinceMs);
     }
 
     @Override
@@ -173,22 +186,36 @@
         }
         tell(exchange, now -> {
             exchange.out--;
-            balancer.attemptEnded(now, new AttemptEnd(exchange.id, attempt.number, attempt.upstream, outcome,
-                    attempt.elapsedMs(), exchange.over, report));
+            balancer.attemptEnded(
+                    now,
+                    new AttemptEnd(
+                            exchange.id,
+                            attempt.number,
+                            attempt.upstream,
+                            outcome,
+                            attempt.elapsedMs(),
+                            exchange.over,
+                            report));
         });
     }
 
     /** An upstream that is to be sent to is known here before the module hears of it; one that is not, after. */
     void upstreams(ListKind kind, Update update) {
-        Map<Boolean, List<Member>> byReady = update.members().stream()
-                .collect(Collectors.partitioningBy(member -> member.status() == Status.READY));
+        Map<Boolean, List<Member>> byReady =
+                update.members().stream().collect(Collectors.partitioningBy(member -> member.status() == Status.READY));
         Set<Integer> named = new HashSet<>();
         List<Upstream> entries = new ArrayList<>();
         for (Member member : update.members()) {
             int id = memberIds.computeIfAbsent(member.id(), name -> ++lastMember);
             named.add(id);
-            entries.add(new Upstream(id, member.status(), member.startedMs(), member.zone(), member.kind(),
-                    member.cell(), member.weight()));
+            entries.add(new Upstream(
+                    id,
+                    member.status(),
+                    member.startedMs(),
+                    member.zone(),
+                    member.kind(),
+                    member.cell(),
+                    member.weight()));
         }
         byReady.get(true).forEach(member -> upstreams.listed(memberIds.get(member.id()), member));
         // What then fails at an upstream that is gone finds the module knowing that.
@@ -196,7 +223,8 @@
         byReady.get(false).forEach(this::notReady);
         if (kind != ListKind.DELTA) {
             List<String> missing = memberIds.keySet().stream()
-                    .filter(name -> !named.contains(memberIds.get(name))).toList();
+                    .filter(name -> !named.contains(memberIds.get(name)))
+                    .toList();
             missing.forEach(this::gone);
         }
     }
@@ -255,7 +283,7 @@
         exchange.over = true;
         exchange.overdue.cancel(false);
         // The module may end a request while it is told of another: this one would never be let go.
-        tell(exchange, now -> { });
+        tell(exchange, now -> {});
     }
 
     private void finish(Exchange exchange, Answer answer) {
--- a/sidecar/src/main/java/gradehub/node/ListStream.java
+++ b/sidecar/src/main/java/gradehub/node/ListStream.java
@@ -1,18 +1,16 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.util.function.Consumer;
-
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.util.TokenBuffer;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.Consumer;
 
 /**
  * Reads JSON objects off a stream as they come, each told once its last byte is there: one may fill a line or, indented,
--- a/sidecar/src/main/java/gradehub/node/LookingChannel.java
+++ b/sidecar/src/main/java/gradehub/node/LookingChannel.java
@@ -1,11 +1,10 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.nio.channels.SocketChannel;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
 
 /**
  * A socket on which one can look at what has come and has not been read by the event loop yet. What a look finds is
@@ -15,14 +14,14 @@
 
     /** How far a look goes: what lies behind so much input, more than any request is, is not seen. */
     private static final int FURTHEST_BYTES = 1 << 17;
+
     private static final int FIRST_BYTES = 1024;
 
     private ByteBuf ahead;
     private boolean ended;
 
     /** For a connection that is to be opened. */
-    LookingChannel() {
-    }
+    LookingChannel() {}
 
     /** For one that has been accepted. */
     LookingChannel(Channel parent, SocketChannel accepted) {
--- a/sidecar/src/main/java/gradehub/node/Rehearsal.java
+++ b/sidecar/src/main/java/gradehub/node/Rehearsal.java
@@ -33,6 +33,7 @@
      * they ask at.
      */
     private static final double REHEARSED_PART = 0.7;
+
     private static final String CONFIG = """
             {"listen":"127.0.0.1:0","discovery":"%1$s","seed":"1","limits":{"sockets":1024},
              "known":{"revision":1,"complete":true,"members":[{"id":"u","host_port":"%1$s","phase":"active"}]},
@@ -42,8 +43,7 @@
             """;
     private static final String LIST = "{\"revision\":2,\"complete\":false,\"members\":[]}\n";
 
-    private Rehearsal() {
-    }
+    private Rehearsal() {}
 
     /** Whatever goes wrong in it must not keep a sidecar from starting, and its slowness no more than is allowed. */
     static void tryIt() throws InterruptedException {
@@ -124,12 +124,16 @@
     }
 
     private static void serve(Socket socket, long upstreamMs) {
-        try (socket; BufferedReader in = reader(socket)) {
+        try (socket;
+                BufferedReader in = reader(socket)) {
             for (String first = readHead(in); first != null; first = readHead(in)) {
                 Thread.sleep(upstreamMs);
-                write(socket, first.contains("watch") ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + Integer.toHexString(LIST.length()) + "\r\n" + LIST + "\r\n"
-                        : "HTTP/1.1 200 OK\r\nX-Pressure: cpu=0.5\r\nContent-Length: 0\r\n\r\n");
+                write(
+                        socket,
+                        first.contains("watch")
+                                ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        + Integer.toHexString(LIST.length()) + "\r\n" + LIST + "\r\n"
+                                : "HTTP/1.1 200 OK\r\nX-Pressure: cpu=0.5\r\nContent-Length: 0\r\n\r\n");
             }
         } catch (IOException e) {
             // The sidecar has ended.
@@ -151,7 +155,7 @@
     /** Reads up to the empty line; the first line, or null where the connection has ended. */
     private static String readHead(BufferedReader in) throws IOException {
         String first = in.readLine();
-        for (String line = first; line != null && !line.isEmpty();) {
+        for (String line = first; line != null && !line.isEmpty(); ) {
             line = in.readLine();
         }
         return first;
--- a/sidecar/src/main/java/gradehub/node/ReloadSignal.java
+++ b/sidecar/src/main/java/gradehub/node/ReloadSignal.java
@@ -22,13 +22,13 @@
     ReloadSignal() throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
-        Object calls = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                (proxy, method, args) -> {
+        Object calls =
+                Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                     came();
                     return null;
                 });
-        signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
-                .newInstance("HUP"), calls);
+        signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), calls);
     }
 
     /** Runs this at each signal from now on, and now if one has come before. */
--- a/sidecar/src/main/java/gradehub/node/RequestGuard.java
+++ b/sidecar/src/main/java/gradehub/node/RequestGuard.java
@@ -1,7 +1,6 @@
 package gradehub.node;
 
-import java.util.List;
-
+import gradehub.node.ClientRequest.RejectedException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
@@ -17,8 +16,7 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-
-import gradehub.node.ClientRequest.RejectedException;
+import java.util.List;
 
 /**
  * Checks the head of a request before its body is read. One that fails is marked as undecodable, and so ends its
@@ -27,9 +25,16 @@
 final class RequestGuard extends ChannelInboundHandlerAdapter {
 
     /** Each says one thing to the sidecar: said twice, an upstream might believe the other one. */
-    private static final List<CharSequence> ONCE = List.of(HttpHeaderNames.HOST, HttpHeaderNames.CONTENT_LENGTH,
-            HttpHeaderNames.TRANSFER_ENCODING, ClientRequest.ID, ClientRequest.CLASS, ClientRequest.REMAINING,
-            ClientRequest.KEY, ClientRequest.TENANT, ClientRequest.ESTIMATE_US);
+    private static final List<CharSequence> ONCE = List.of(
+            HttpHeaderNames.HOST,
+            HttpHeaderNames.CONTENT_LENGTH,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            ClientRequest.ID,
+            ClientRequest.CLASS,
+            ClientRequest.REMAINING,
+            ClientRequest.KEY,
+            ClientRequest.TENANT,
+            ClientRequest.ESTIMATE_US);
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
@@ -91,7 +96,8 @@
         if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
-        return cause instanceof TooLongFrameException ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+        return cause instanceof TooLongFrameException
+                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
                 : HttpResponseStatus.BAD_REQUEST;
     }
 }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -1,5 +1,11 @@
 package gradehub.node;
 
+import gradehub.LoadShiftingBalancer;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.Map;
@@ -7,14 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
-import gradehub.LoadShiftingBalancer;
-
 /** Puts the sidecar together on one event loop, and takes it down without losing what it has taken. */
 public final class Sidecar {
 
@@ -25,8 +23,9 @@
     /** Between closing what is idle and closing the listener: what is still under way by then is read. */
     private static final long LAST_CALL_MS = 100;
     /** With nothing in hand: for a request that is half read, for its answer to be read, and for the looks at both. */
-    private static final long LAST_BYTES_MS = (long) (ClientConnection.LAST_REQUEST_MS + ClientConnection.DRAIN_MS)
-            + 200;
+    private static final long LAST_BYTES_MS =
+            (long) (ClientConnection.LAST_REQUEST_MS + ClientConnection.DRAIN_MS) + 200;
+
     private static final long LOOK_MS = 10;
 
     private final EventLoop loop;
@@ -40,7 +39,12 @@
         this.loop = loop;
         SocketBudget sockets = new SocketBudget(config.sockets());
         Clock clock = new Clock();
-        engine = new Engine(loop, clock, config, sockets, opened,
+        engine = new Engine(
+                loop,
+                clock,
+                config,
+                sockets,
+                opened,
                 actions -> new LoadShiftingBalancer(config.settings(), config.seed(), actions));
         discovery = new Discovery(loop, config, opened, engine);
         clients = new ClientServer(loop, clock, config.settings(), engine, sockets, discovery::hasList);
@@ -88,7 +92,9 @@
     static Sidecar create(Config config, Supplier<LookingChannel> opened) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        return loop.submit(() -> new Sidecar(loop, config, opened)).syncUninterruptibly().getNow();
+        return loop.submit(() -> new Sidecar(loop, config, opened))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** From the first request on SIGTERM lets what was taken be answered: {@code onStop} is there before it comes. */
@@ -133,8 +139,9 @@
             Config read = Config.load(environment);
             loop.execute(() -> discovery.moveTo(read.discovery()));
         } catch (Config.BadConfigException | RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "the new configuration is of no use, the old one stands: "
-                    + e.getMessage());
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "the new configuration is of no use, the old one stands: " + e.getMessage());
         }
     }
 
@@ -149,10 +156,13 @@
     }
 
     void stop() throws InterruptedException {
-        loop.schedule(() -> {
-            endConnections();
-            loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
-        }, GOES_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    endConnections();
+                    loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
+                },
+                GOES_ON_MS,
+                TimeUnit.MILLISECONDS);
         stopped.await();
     }
 
--- a/sidecar/src/main/java/gradehub/node/SocketBudget.java
+++ b/sidecar/src/main/java/gradehub/node/SocketBudget.java
@@ -17,8 +17,7 @@
     private final int keptForClients;
     private int clients;
     private int upstreams;
-    private Runnable whenChanged = () -> {
-    };
+    private Runnable whenChanged = () -> {};
 
     SocketBudget(int descriptors) {
         most = descriptors - LEAST;
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -1,10 +1,7 @@
 package gradehub.node;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
+import gradehub.Balancer.Outcome;
+import gradehub.node.Upstreams.Attempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -29,9 +26,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-
-import gradehub.Balancer.Outcome;
-import gradehub.node.Upstreams.Attempt;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to an upstream. It carries one attempt at a time, and is used again only where an answer left
@@ -43,8 +41,8 @@
     private static final String TURNED_AWAY = "X-Turned-Away";
     private static final String LOAD_REPORT = "X-Pressure";
     /** They speak of this upstream at this time, not of the request. */
-    private static final Set<HttpResponseStatus> PASSING = Set.of(HttpResponseStatus.REQUEST_TIMEOUT,
-            HttpResponseStatus.TOO_MANY_REQUESTS);
+    private static final Set<HttpResponseStatus> PASSING =
+            Set.of(HttpResponseStatus.REQUEST_TIMEOUT, HttpResponseStatus.TOO_MANY_REQUESTS);
     /** 1xx answers that are skipped ahead of one. */
     private static final int MOST_INTERIM = 16;
     /** From the first byte of an answer to its last: one that stops in between is spoilt. */
@@ -57,9 +55,11 @@
     private Attempt attempt;
     /** Whether the first byte of the attempt may be out. */
     private boolean writing;
+
     private boolean retired;
     /** What came for the attempt: told at the end of the read, when it is known what follows. */
     private Outcome outcome;
+
     private double[] report;
     private Answer answer;
     private boolean reusable;
@@ -73,7 +73,9 @@
     }
 
     void open(EventLoop loop, InetSocketAddress address, int timeoutMs) {
-        ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(() -> channel)
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channelFactory(() -> channel)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -81,7 +83,8 @@
                     protected void initChannel(SocketChannel made) {
                         made.pipeline().addLast(decoder, new HttpRequestEncoder(), joining(), UpstreamConnection.this);
                     }
-                }).connect(address);
+                })
+                .connect(address);
         channel.closeFuture().addListener(closed -> closed());
         connecting.addListener(connected -> {
             if (!connected.isSuccess()) {
@@ -127,8 +130,12 @@
 
     private FullHttpRequest message(Attempt carried) {
         ClientRequest request = carried.exchange.request();
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()), request.headers().copy(),
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                request.headers().copy(),
                 DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
         double leftMs = carried.capMs - (upstreams.nowMs() - carried.sentMs);
         message.headers().set(ClientRequest.REMAINING, (long) Math.max(1, leftMs));
@@ -142,7 +149,8 @@
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
         decoder.completed();
         boolean skipped = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && response.decoderResult().isSuccess() && interim++ < MOST_INTERIM;
+                && response.decoderResult().isSuccess()
+                && interim++ < MOST_INTERIM;
         if (attempt == null || outcome != null) {
             spoil(); // nobody asked for it
         } else if (!skipped) {
@@ -151,7 +159,8 @@
     }
 
     private void answered(FullHttpResponse response) {
-        if (response.decoderResult().isFailure() || !attempt.written
+        if (response.decoderResult().isFailure()
+                || !attempt.written
                 || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             spoil();
             return;
@@ -159,8 +168,13 @@
         reusable = HttpUtil.isKeepAlive(response);
         outcome = outcome(response);
         report = upstreams.reports().read(response.headers().get(LOAD_REPORT));
-        answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? new Answer(response.status().code(), 0,
-                response.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(response.content())) : null;
+        answer = outcome == Outcome.OK || outcome == Outcome.CANCELLED
+                ? new Answer(
+                        response.status().code(),
+                        0,
+                        response.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                        ByteBufUtil.getBytes(response.content()))
+                : null;
     }
 
     /**
@@ -177,7 +191,7 @@
         }
         boolean turnedAway = "1".equals(response.headers().get(TURNED_AWAY))
                 && (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT));
+                        || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT));
         return turnedAway ? Outcome.REJECTED : Outcome.ERROR;
     }
 
@@ -200,11 +214,15 @@
             upstreams.end(attempt, outcome, report, answer);
         } else if (attempt != null && decoder.isPartial()) {
             Attempt begun = attempt;
-            context.executor().schedule(() -> {
-                if (begun == attempt) {
-                    spoil();
-                }
-            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+            context.executor()
+                    .schedule(
+                            () -> {
+                                if (begun == attempt) {
+                                    spoil();
+                                }
+                            },
+                            ANSWER_MS,
+                            TimeUnit.MILLISECONDS);
         }
         context.fireChannelReadComplete();
     }
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -1,5 +1,11 @@
 package gradehub.node;
 
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Status;
+import gradehub.node.MemberReader.Member;
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -11,14 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import io.netty.channel.ChannelException;
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
-
-import gradehub.Balancer.Outcome;
-import gradehub.Balancer.Status;
-import gradehub.node.MemberReader.Member;
-
 /** The connections to upstreams and the attempts on them: each attempt ends once, in {@link #end}. */
 final class Upstreams {
 
@@ -28,6 +26,7 @@
     private static final double[] NO_REPORT = LoadReport.NONE;
     /** Of the idle time after which an upstream closes: what is written to a connection then would be lost. */
     private static final double SAFE_IDLE = 0.75;
+
     private static final int SWEEPS_IN_IDLE = 20;
     /**
      * From an answer to the next request on its connection: a second answer may come late, and would be taken for
@@ -54,6 +53,7 @@
         private Future<?> timeout;
         /** Whether the last byte is out: from then on it may have run. */
         boolean written;
+
         private Outcome outcome;
         private double elapsedMs;
 
@@ -80,6 +80,7 @@
         private double startedMs;
         /** Whether it takes nothing new. */
         private boolean leaving;
+
         private final Set<UpstreamConnection> open = new HashSet<>();
         /** Those that carry nothing, the latest used last. */
         private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -95,7 +96,12 @@
     private final Listener listener;
     private final Map<Integer, Pool> pools = new HashMap<>();
 
-    Upstreams(EventLoop loop, Clock clock, Config config, SocketBudget sockets, Supplier<LookingChannel> opened,
+    Upstreams(
+            EventLoop loop,
+            Clock clock,
+            Config config,
+            SocketBudget sockets,
+            Supplier<LookingChannel> opened,
             Listener listener) {
         this.loop = loop;
         this.clock = clock;
@@ -119,8 +125,9 @@
         Pool pool = pools.computeIfAbsent(id, unused -> new Pool());
         boolean another = !member.address().equals(pool.address) || member.startedMs() != pool.startedMs;
         if (pool.address != null && another || pool.leaving != (member.status() != Status.READY)) {
-            LOG.log(System.Logger.Level.INFO, "upstream " + id + " is " + member.id() + " at " + member.address()
-                    + ", " + member.status());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "upstream " + id + " is " + member.id() + " at " + member.address() + ", " + member.status());
         }
         pool.address = member.address();
         pool.startedMs = member.startedMs();
@@ -187,8 +194,8 @@
             end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
             return;
         }
-        attempt.timeout = loop.schedule(() -> giveUp(attempt, Outcome.TIMEOUT), Math.round(attempt.capMs * 1000),
-                TimeUnit.MICROSECONDS);
+        attempt.timeout = loop.schedule(
+                () -> giveUp(attempt, Outcome.TIMEOUT), Math.round(attempt.capMs * 1000), TimeUnit.MICROSECONDS);
         if (rested == null) {
             connect(pool, attempt);
         } else {
@@ -215,7 +222,7 @@
     /** On one that is not quiet something has come that nobody asked for: it would be taken for the next answer. */
     private UpstreamConnection rested(Pool pool) {
         double sinceMs = clock.nowMs() - REST_MS;
-        for (Iterator<UpstreamConnection> latest = pool.idle.descendingIterator(); latest.hasNext();) {
+        for (Iterator<UpstreamConnection> latest = pool.idle.descendingIterator(); latest.hasNext(); ) {
             UpstreamConnection idle = latest.next();
             if (idle.idleSinceMs() <= sinceMs) {
                 latest.remove();
@@ -231,8 +238,8 @@
     /** Whether each idle connection can be used again. */
     boolean haveRested() {
         double sinceMs = clock.nowMs() - REST_MS;
-        return pools.values().stream().allMatch(pool -> pool.idle.isEmpty()
-                || pool.idle.peekLast().idleSinceMs() <= sinceMs);
+        return pools.values().stream()
+                .allMatch(pool -> pool.idle.isEmpty() || pool.idle.peekLast().idleSinceMs() <= sinceMs);
     }
 
     /** Stops waiting for an attempt, if it is still out. A time-out before its last byte went out proves no run. */
--- a/sidecar/src/test/java/gradehub/ColdFleetTest.java
+++ b/sidecar/src/test/java/gradehub/ColdFleetTest.java
@@ -4,15 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import gradehub.Balancer.Contract;
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
@@ -23,6 +14,13 @@
 import gradehub.Balancer.RequestClass;
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What thirty sidecars together send to a server that has just started; none knows what the others do. */
 class ColdFleetTest {
@@ -35,19 +33,41 @@
     private static final double COLD_MS = 20_000; // watched after it
 
     /** One request's arrival at the cold server; work in mean requests. */
-    private record Arrival(double atMs, double work) {
-    }
+    private record Arrival(double atMs, double work) {}
 
     /** A part of the fleet falls silent while the server is cold: what goes to it then is what was saved up. */
     @ParameterizedTest
-    @CsvSource({"10,4,1,0,2", "10,4,2,9,2", "10,4,3,9,1", "24,4,4,18,8", "10,2.5,5,6,2", "8,3,6,7,1", "12,4,7,11,30",
-        "16,1.5,8,10,2", "16,1.5,8,15,2", "16,1.5,9,15,2", "16,1.5,10,15,2", "16,1.5,11,15,8"})
+    @CsvSource({
+        "10,4,1,0,2",
+        "10,4,2,9,2",
+        "10,4,3,9,1",
+        "24,4,4,18,8",
+        "10,2.5,5,6,2",
+        "8,3,6,7,1",
+        "12,4,7,11,30",
+        "16,1.5,8,10,2",
+        "16,1.5,8,15,2",
+        "16,1.5,9,15,2",
+        "16,1.5,10,15,2",
+        "16,1.5,11,15,8"
+    })
     void theSumOfAllStaysWithinTheBudget(int servers, double factor, int seed, int silent, double perServerS) {
         Random random = new Random(seed);
         RequestClass spec = new RequestClass("class", 600, 2000, 1, 0.5, Effect.SAFE, Group.ALL, 0, false);
         Contract contract = new Contract(0.12, 24_000, factor, 2000, 10_000);
-        Settings settings = new Settings(List.of(spec), List.of(), SIDECARS, true, true, STEP_MS, 1, List.of(), false,
-                LIMITS, contract, new Goal(1, 0, 0));
+        Settings settings = new Settings(
+                List.of(spec),
+                List.of(),
+                SIDECARS,
+                true,
+                true,
+                STEP_MS,
+                1,
+                List.of(),
+                false,
+                LIMITS,
+                contract,
+                new Goal(1, 0, 0));
         List<Sidecar> fleet = new ArrayList<>();
         double[] weights = new double[SIDECARS];
         double sum = 0;
--- a/sidecar/src/test/java/gradehub/DeparturesTest.java
+++ b/sidecar/src/test/java/gradehub/DeparturesTest.java
@@ -5,11 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
 import gradehub.Balancer.Limits;
@@ -18,6 +13,9 @@
 import gradehub.Balancer.RequestClass;
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 /** Each departure from the ordinary path: that it acts on its condition, and that it ends. */
 class DeparturesTest {
@@ -54,7 +52,9 @@
     }
 
     private static long sentTo(Sidecar sidecar, int upstream, double sinceMs) {
-        return sidecar.sent.stream().filter(s -> s.upstream == upstream && s.atMs >= sinceMs).count();
+        return sidecar.sent.stream()
+                .filter(s -> s.upstream == upstream && s.atMs >= sinceMs)
+                .count();
     }
 
     private static Sidecar sidecar(int upstreams) {
@@ -116,12 +116,16 @@
 
     @Test
     void aServerThatTurnsOneClassAwayIsSetAsideForThatClassAlone() {
-        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-                Samples.requestClass(Effect.UNSAFE, Group.ALL, 1)), 5);
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(
+                        Samples.requestClass(Effect.SAFE, Group.ALL, 1),
+                        Samples.requestClass(Effect.UNSAFE, Group.ALL, 1)),
+                5);
         sidecar.ready(5);
         play(sidecar, 5000, 10, SOUND);
         Fleet choosy = (attempt, ageMs) -> attempt.upstream <= 2 && sidecar.classOf(attempt.request) == 1
-                ? Outcome.REJECTED : SOUND.answer(attempt, ageMs);
+                ? Outcome.REJECTED
+                : SOUND.answer(attempt, ageMs);
         play(sidecar, 1000, 10, choosy);
         double later = sidecar.now;
         play(sidecar, 8000, 10, choosy);
@@ -135,8 +139,10 @@
 
     /** Attempts of a class at the upstreams up to this one. */
     private static long sentTo(Sidecar sidecar, int requestClass, int lastUpstream, double sinceMs) {
-        return sidecar.sent.stream().filter(s -> s.upstream <= lastUpstream && s.atMs >= sinceMs
-                && sidecar.classOf(s.request) == requestClass).count();
+        return sidecar.sent.stream()
+                .filter(s ->
+                        s.upstream <= lastUpstream && s.atMs >= sinceMs && sidecar.classOf(s.request) == requestClass)
+                .count();
     }
 
     @Test
@@ -145,21 +151,29 @@
         play(sidecar, 10_000, 20, (attempt, ageMs) -> Outcome.ERROR);
         double from = sidecar.now;
         play(sidecar, 3000, 20, SOUND);
-        assertTrue(sidecar.sent.stream().filter(s -> s.atMs >= from && s.outcome == Outcome.OK).count() > 20);
+        assertTrue(sidecar.sent.stream()
+                        .filter(s -> s.atMs >= from && s.outcome == Outcome.OK)
+                        .count()
+                > 20);
         assertEquals(List.of(), sidecar.breaches);
     }
 
     @Test
     void aStuckAttemptIsCopiedOnlyWhereAllowed() {
         for (boolean copies : new boolean[] {true, false}) {
-            Sidecar sidecar = new Sidecar(Samples.settings(1, new Limits(4, copies, true, false, 0), false,
-                    List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(
+                            1,
+                            new Limits(4, copies, true, false, 0),
+                            false,
+                            List.of(),
+                            Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    5);
             sidecar.ready(5);
             play(sidecar, 5000, 10, SOUND);
             double from = sidecar.now;
             play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> null));
-            boolean copied = sidecar.sent.stream().anyMatch(s -> s.atMs >= from && s.number > 0
-                    && s.atMs < from + 500);
+            boolean copied = sidecar.sent.stream().anyMatch(s -> s.atMs >= from && s.number > 0 && s.atMs < from + 500);
             assertEquals(copies, copied);
             assertEquals(List.of(), sidecar.breaches);
         }
@@ -169,7 +183,9 @@
     void slowServersGetFewerAttemptsAtATimeAndRecover() {
         Sidecar sidecar = sidecar(5);
         play(sidecar, 10_000, 10, (attempt, ageMs) -> ageMs >= 400 ? Outcome.OK : null);
-        assertTrue(sidecar.out().size() <= 10, "few out at slow servers: " + sidecar.out().size());
+        assertTrue(
+                sidecar.out().size() <= 10,
+                "few out at slow servers: " + sidecar.out().size());
         assertTrue(sidecar.refused > 0);
         play(sidecar, 20_000, 10, SOUND);
         int refused = sidecar.refused;
@@ -216,8 +232,9 @@
                 sidecar.end(attempt, Outcome.OK);
             }
         }
-        assertTrue(part(sidecar, first) > 2 * part(sidecar, repeats), part(sidecar, first) + ", "
-                + part(sidecar, repeats));
+        assertTrue(
+                part(sidecar, first) > 2 * part(sidecar, repeats),
+                part(sidecar, first) + ", " + part(sidecar, repeats));
     }
 
     @Test
@@ -231,14 +248,16 @@
     }
 
     private static double part(Sidecar sidecar, List<Integer> requests) {
-        return requests.stream().filter(id -> sidecar.attemptsOf(id).stream()
-                .anyMatch(s -> s.outcome == Outcome.OK)).count() / (double) requests.size();
+        return requests.stream()
+                        .filter(id -> sidecar.attemptsOf(id).stream().anyMatch(s -> s.outcome == Outcome.OK))
+                        .count()
+                / (double) requests.size();
     }
 
     @Test
     void theWorthierClassIsServedFirstUnderOverload() {
-        Settings settings = Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-                Samples.requestClass(Effect.SAFE, Group.ALL, 5));
+        Settings settings = Samples.settings(
+                Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.requestClass(Effect.SAFE, Group.ALL, 5));
         Sidecar sidecar = new Sidecar(settings, 5);
         sidecar.ready(2);
         play(sidecar, 5000, 20, SOUND);
@@ -253,8 +272,8 @@
     void aColdServerGetsItsPartAndSidecarsTogetherStayInTheBudget() {
         List<Sidecar> sidecars = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            Settings settings = Samples.settings(3, LIMITS, false, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1));
+            Settings settings =
+                    Samples.settings(3, LIMITS, false, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1));
             Sidecar sidecar = new Sidecar(settings, i);
             sidecar.ready(5);
             play(sidecar, 5000, 10, SOUND);
@@ -295,7 +314,8 @@
 
     @Test
     void fewSidecarsCoverAllServersAndManyHoldSmallSubsets() {
-        assertEquals(14, sidecar(14).sent.stream().map(s -> s.upstream).distinct().count());
+        assertEquals(
+                14, sidecar(14).sent.stream().map(s -> s.upstream).distinct().count());
         Sidecar oneOfMany = oneOf(100, Samples.requestClass(Effect.SAFE, Group.ALL, 1));
         oneOfMany.ready(60);
         play(oneOfMany, 10_000, 10, SOUND);
@@ -324,8 +344,9 @@
     void anAskingSidecarSubscribesAndDoesSoAgainAtPacedRandomTimes() {
         List<Double> delays = new ArrayList<>();
         for (int seed = 0; seed < 20; seed++) {
-            Sidecar sidecar = new Sidecar(Samples.settings(20, LIMITS, true, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), seed);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(20, LIMITS, true, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    seed);
             assertEquals(1, sidecar.subscriptions);
             sidecar.list(ListKind.FAILED);
             sidecar.list(ListKind.FAILED);
@@ -347,13 +368,15 @@
     /** What discovery tells counts as told 6 s after it can be reached, however often calls have failed before. */
     @Test
     void howeverOftenCallsFailTheNextOneFitsIntoTheTimeToBeTold() {
-        assertTrue(ListTimes.SILENCE_MS + ListTimes.PAUSE_MS + ListTimes.CONNECT_MS < ListTimes.TOLD_MS - 1000,
+        assertTrue(
+                ListTimes.SILENCE_MS + ListTimes.PAUSE_MS + ListTimes.CONNECT_MS < ListTimes.TOLD_MS - 1000,
                 "a second at least for discovery to answer");
         assertTrue(ListTimes.SILENCE_MS > 2000, "an empty line comes every 2 s");
         List<Double> delays = new ArrayList<>();
         for (int seed = 0; seed < 20; seed++) {
-            Sidecar sidecar = new Sidecar(Samples.settings(20, LIMITS, true, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), seed);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(20, LIMITS, true, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    seed);
             for (int call = 1; call < 30; call++) {
                 assertEquals(call, sidecar.subscriptions);
                 sidecar.list(ListKind.FAILED);
--- a/sidecar/src/test/java/gradehub/IdleBalancer.java
+++ b/sidecar/src/test/java/gradehub/IdleBalancer.java
@@ -6,30 +6,23 @@
 public class IdleBalancer implements Balancer {
 
     @Override
-    public void start(double nowMs) {
-    }
+    public void start(double nowMs) {}
 
     @Override
-    public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {
-    }
+    public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {}
 
     @Override
-    public void request(double nowMs, Request request) {
-    }
+    public void request(double nowMs, Request request) {}
 
     @Override
-    public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {
-    }
+    public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {}
 
     @Override
-    public void attemptEnded(double nowMs, AttemptEnd end) {
-    }
+    public void attemptEnded(double nowMs, AttemptEnd end) {}
 
     @Override
-    public void clientLeft(double nowMs, int request) {
-    }
+    public void clientLeft(double nowMs, int request) {}
 
     @Override
-    public void timer(double nowMs, int token) {
-    }
+    public void timer(double nowMs, int token) {}
 }
--- a/sidecar/src/test/java/gradehub/RepositoryTest.java
+++ b/sidecar/src/test/java/gradehub/RepositoryTest.java
@@ -16,10 +16,8 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -28,6 +26,7 @@
 
     /** The repository, from the folder of the module, in which the tests run. */
     private static final Path ROOT = Path.of("..");
+
     private static final Path MODULE = ROOT.resolve("sidecar/src/main/java/gradehub");
     /** Shared with the network code and the adapter: they decide nothing. */
     private static final Set<String> NOT_POLICY = Set.of("Balancer.java", "Main.java", "SettingsReader.java");
@@ -43,7 +42,8 @@
         for (String line : lines) {
             assertTrue(line.length() <= 110, line);
         }
-        String head = String.join("\n",
+        String head = String.join(
+                "\n",
                 Files.readAllLines(MODULE.resolve("LoadShiftingBalancer.java")).subList(0, 20));
         assertTrue(head.contains("Balancer.java"), "the head names the interface file");
     }
@@ -63,7 +63,9 @@
         Matcher list = Pattern.compile("^policy = \\[(.*)]$", Pattern.MULTILINE)
                 .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
         assertTrue(list.find(), "the deploy file names the policy");
-        return Stream.of(list.group(1).split(",")).map(name -> ROOT.resolve(name.strip().replace("\"", ""))).toList();
+        return Stream.of(list.group(1).split(","))
+                .map(name -> ROOT.resolve(name.strip().replace("\"", "")))
+                .toList();
     }
 
     @Test
@@ -74,8 +76,19 @@
         Path source = Files.writeString(dir.resolve("Example.java"), block.group(1));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         assertNotNull(compiler);
-        assertEquals(0, compiler.run(null, null, null, "-Xlint:all", "-Werror", "-cp", "target/classes", "-d",
-                dir.toString(), source.toString()));
+        assertEquals(
+                0,
+                compiler.run(
+                        null,
+                        null,
+                        null,
+                        "-Xlint:all",
+                        "-Werror",
+                        "-cp",
+                        "target/classes",
+                        "-d",
+                        dir.toString(),
+                        source.toString()));
         URL[] path = {dir.toUri().toURL(), Path.of("target/classes").toUri().toURL()};
         try (URLClassLoader loader = new URLClassLoader(path, ClassLoader.getPlatformClassLoader())) {
             Object sent = loader.loadClass("Example").getMethod("run").invoke(null);
--- a/sidecar/src/test/java/gradehub/RulesTest.java
+++ b/sidecar/src/test/java/gradehub/RulesTest.java
@@ -4,16 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-import java.util.stream.Stream;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.Arguments;
-import org.junit.jupiter.params.provider.MethodSource;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
 import gradehub.Balancer.Limits;
@@ -22,6 +12,14 @@
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** The rules as properties over generated events, for every effect class and limit. */
 class RulesTest {
@@ -46,8 +44,8 @@
     @MethodSource("worlds")
     void generatedEventsBreakNoRule(Effect effect, Group group, Limits limits) {
         for (int seed = 0; seed < 8; seed++) {
-            Settings settings = Samples.settings(3, limits, seed % 2 == 0, List.of(),
-                    Samples.requestClass(effect, group, 1));
+            Settings settings =
+                    Samples.settings(3, limits, seed % 2 == 0, List.of(), Samples.requestClass(effect, group, 1));
             Sidecar sidecar = new Sidecar(settings, seed);
             play(sidecar, new Random(seed), 1500);
             assertEquals(List.of(), sidecar.breaches, "seed " + seed);
@@ -77,8 +75,7 @@
                     double startedMs = random.nextBoolean() ? 0 : sidecar.now - random.nextInt(12_000);
                     entries.add(Sidecar.upstream(id, statuses[random.nextInt(3)], startedMs));
                 }
-                sidecar.list(random.nextInt(4) == 0 ? ListKind.FULL : ListKind.DELTA,
-                        entries.toArray(new Upstream[0]));
+                sidecar.list(random.nextInt(4) == 0 ? ListKind.FULL : ListKind.DELTA, entries.toArray(new Upstream[0]));
             } else if (dice < 74) {
                 sidecar.list(ListKind.FAILED);
             } else if (dice < 76 && newest > 0 && !sidecar.ended(newest)) {
@@ -120,11 +117,14 @@
     }
 
     private static void assertCaught(String rule, Effect effect, Misdeed misdeed) {
-        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(effect, Group.ZONE, 1)), 1,
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(Samples.requestClass(effect, Group.ZONE, 1)),
+                1,
                 (settings, seed, actions) -> new IdleBalancer());
         sidecar.ready(3);
         misdeed.commit(sidecar, sidecar.request(0));
-        assertTrue(sidecar.breaches.stream().anyMatch(breach -> breach.startsWith(rule)),
+        assertTrue(
+                sidecar.breaches.stream().anyMatch(breach -> breach.startsWith(rule)),
                 rule + " not in " + sidecar.breaches);
     }
 
@@ -140,8 +140,8 @@
         sidecar.end(attempt, Outcome.ERROR);
         sidecar.balancer.clientLeft(sidecar.now, request);
         sidecar.balancer.clientLeft(sidecar.now, 999);
-        sidecar.balancer.attemptEnded(sidecar.now, new Balancer.AttemptEnd(999, 0, 1, Outcome.OK, 1, true,
-                new double[0]));
+        sidecar.balancer.attemptEnded(
+                sidecar.now, new Balancer.AttemptEnd(999, 0, 1, Outcome.OK, 1, true, new double[0]));
         sidecar.balancer.streamStarted(sidecar.now, 999, 0, 1);
         sidecar.balancer.probeEnded(sidecar.now, 999, Outcome.OK, 1, new double[0]);
         sidecar.balancer.peerMessage(sidecar.now, 1, new byte[3]);
@@ -160,8 +160,8 @@
 
     @Test
     void aStartedStreamIsNeitherCancelledNorSentAgain() {
-        Settings settings = Samples.settings(new Balancer.RequestClass("stream", 1000, 4000, 1, 0, Effect.SAFE,
-                Group.ALL, 0, true));
+        Settings settings = Samples.settings(
+                new Balancer.RequestClass("stream", 1000, 4000, 1, 0, Effect.SAFE, Group.ALL, 0, true));
         Sidecar sidecar = new Sidecar(settings, 3);
         sidecar.ready(3);
         int request = sidecar.request(0);
--- a/sidecar/src/test/java/gradehub/SharesTest.java
+++ b/sidecar/src/test/java/gradehub/SharesTest.java
@@ -4,17 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.Balancer.ListKind;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Status;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
-
 import org.junit.jupiter.api.Test;
 
-import gradehub.Balancer.ListKind;
-import gradehub.Balancer.Outcome;
-import gradehub.Balancer.Status;
-
 /** The ordinary path: draws follow shares, and shares follow the design's step. */
 class SharesTest {
 
@@ -30,8 +28,16 @@
             Sidecar.Sent attempt = sidecar.last();
             double tookMs = latencyMs.getOrDefault(attempt.upstream, 100.0);
             attempt.outcome = tookMs == NEVER_SENT ? Outcome.NOT_SENT : Outcome.OK;
-            sidecar.balancer.attemptEnded(sidecar.now, new Balancer.AttemptEnd(attempt.request, attempt.number,
-                    attempt.upstream, attempt.outcome, tookMs, true, new double[0]));
+            sidecar.balancer.attemptEnded(
+                    sidecar.now,
+                    new Balancer.AttemptEnd(
+                            attempt.request,
+                            attempt.number,
+                            attempt.upstream,
+                            attempt.outcome,
+                            tookMs,
+                            true,
+                            new double[0]));
             parts.merge(attempt.upstream, 1.0 / draws, Double::sum);
         }
         return parts;
@@ -121,8 +127,14 @@
 
     @Test
     void theSubsetHasTenMembersAndADrainedOneGivesWayAtTheMeanShare() {
-        Sidecar sidecar = new Sidecar(Samples.settings(12, new Balancer.Limits(4, true, true, false, 0), false,
-                List.of(), Samples.requestClass(Balancer.Effect.SAFE, Balancer.Group.ALL, 1)), 7);
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(
+                        12,
+                        new Balancer.Limits(4, true, true, false, 0),
+                        false,
+                        List.of(),
+                        Samples.requestClass(Balancer.Effect.SAFE, Balancer.Group.ALL, 1)),
+                7);
         sidecar.ready(14);
         draw(sidecar, 200, Map.of()); // the first answers: what is usual is not known yet
         sidecar.pass(2000);
@@ -133,8 +145,8 @@
         Map<Integer, Double> after = draw(sidecar, DRAWS, Map.of());
         assertEquals(10, after.size(), after + ", drained " + drained);
         assertFalse(after.containsKey(drained));
-        List<Integer> fresh = after.keySet().stream().filter(id -> !before.containsKey(id))
-                .collect(Collectors.toList());
+        List<Integer> fresh =
+                after.keySet().stream().filter(id -> !before.containsKey(id)).collect(Collectors.toList());
         assertEquals(1, fresh.size());
         assertEquals(0.1, after.get(fresh.get(0)), CHANCE);
     }
--- a/sidecar/src/test/java/gradehub/Sidecar.java
+++ b/sidecar/src/test/java/gradehub/Sidecar.java
@@ -1,12 +1,5 @@
 package gradehub;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.TreeMap;
-
 import gradehub.Balancer.AttemptEnd;
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Group;
@@ -17,6 +10,12 @@
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
 
 /**
  * Stands in for a sidecar: passes events to a balancer, carries its timers and time-outs out, and checks every action
@@ -66,8 +65,7 @@
         }
     }
 
-    private record Timer(double atMs, int token) {
-    }
+    private record Timer(double atMs, int token) {}
 
     final Settings settings;
     final Balancer balancer;
@@ -151,8 +149,16 @@
             served++;
             done = true;
         }
-        balancer.attemptEnded(now, new AttemptEnd(attempt.request, attempt.number, attempt.upstream, outcome,
-                now - attempt.atMs, done, new double[0]));
+        balancer.attemptEnded(
+                now,
+                new AttemptEnd(
+                        attempt.request,
+                        attempt.number,
+                        attempt.upstream,
+                        outcome,
+                        now - attempt.atMs,
+                        done,
+                        new double[0]));
     }
 
     void clientLeaves(int request) {
@@ -242,8 +248,9 @@
             if (spec.effect() == Effect.UNSAFE) {
                 breaches.add("repeat: unsafe request sent again");
             }
-            if (spec.effect() == Effect.KEYED && (now - before.atMs >= spec.windowMs()
-                    || !sameGroup(spec.group(), listed.get(before.upstream), listed.get(upstream)))) {
+            if (spec.effect() == Effect.KEYED
+                    && (now - before.atMs >= spec.windowMs()
+                            || !sameGroup(spec.group(), listed.get(before.upstream), listed.get(upstream)))) {
                 breaches.add("repeat: keyed request sent outside its group or window");
             }
         }
@@ -262,7 +269,8 @@
         if (open == null) {
             return;
         }
-        boolean harmless = open.spec.effect() == Effect.SAFE || !open.mayHaveRun()
+        boolean harmless = open.spec.effect() == Effect.SAFE
+                || !open.mayHaveRun()
                 || open.spec.effect() == Effect.KEYED && open.spec.group() == Group.ALL;
         if (!harmless) {
             breaches.add("repeat: refused what may have run");
--- a/sidecar/src/test/java/gradehub/SparseTest.java
+++ b/sidecar/src/test/java/gradehub/SparseTest.java
@@ -4,11 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
 import gradehub.Balancer.Group;
@@ -19,6 +14,9 @@
 import gradehub.Balancer.Settings;
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 /** Failures found where sidecars are many and each sees little: every test fails without the answer to it. */
 class SparseTest {
@@ -27,11 +25,22 @@
     private static final Limits LIMITS = new Limits(4, true, true, false, 0);
     private static final RequestClass SAFE = Samples.requestClass(Effect.SAFE, Group.ALL, 1);
 
-    private static Settings settings(int sidecars, boolean marked, Limits limits, boolean reportsOnProbe, Goal goal,
-            RequestClass... classes) {
+    private static Settings settings(
+            int sidecars, boolean marked, Limits limits, boolean reportsOnProbe, Goal goal, RequestClass... classes) {
         Settings base = Samples.settings(sidecars, limits, false, List.of(), classes);
-        return new Settings(base.classes(), List.of(), sidecars, false, marked, base.tickMs(), base.overShareWorth(),
-                reportsOnProbe ? List.of("active") : List.of(), reportsOnProbe, limits, base.contract(), goal);
+        return new Settings(
+                base.classes(),
+                List.of(),
+                sidecars,
+                false,
+                marked,
+                base.tickMs(),
+                base.overShareWorth(),
+                reportsOnProbe ? List.of("active") : List.of(),
+                reportsOnProbe,
+                limits,
+                base.contract(),
+                goal);
     }
 
     private static Sidecar sidecar(boolean marked, RequestClass... classes) {
@@ -83,7 +92,10 @@
             serve(sidecar, 50);
         }
         for (int i = 0; i < 20; i++) {
-            assertEquals(1, sidecar.attemptsOf(sidecar.request(0, 0, 500 + 20 * i, false)).size());
+            assertEquals(
+                    1,
+                    sidecar.attemptsOf(sidecar.request(0, 0, 500 + 20 * i, false))
+                            .size());
             serve(sidecar, 50);
         }
     }
@@ -152,7 +164,9 @@
     @Test
     void sharesStartAtTheListedSize() {
         Sidecar sidecar = sidecar(true, SAFE);
-        sidecar.list(ListKind.FULL, new Upstream(1, Status.READY, 0, 0, 0, 0, 1),
+        sidecar.list(
+                ListKind.FULL,
+                new Upstream(1, Status.READY, 0, 0, 0, 0, 1),
                 new Upstream(2, Status.READY, 0, 0, 0, 0, 0.25));
         for (int i = 0; i < 400; i++) {
             sidecar.request(0);
@@ -163,8 +177,8 @@
     }
 
     private static Sidecar asking() {
-        Sidecar sidecar = new Sidecar(settings(SIDECARS, true, new Limits(4, true, true, true, 0), true,
-                new Goal(1, 0, 0), SAFE), 7);
+        Sidecar sidecar = new Sidecar(
+                settings(SIDECARS, true, new Limits(4, true, true, true, 0), true, new Goal(1, 0, 0), SAFE), 7);
         sidecar.ready(2);
         return sidecar;
     }
@@ -173,8 +187,9 @@
     private static void answerProbes(Sidecar sidecar, Outcome first) {
         while (!sidecar.probed.isEmpty()) {
             int upstream = sidecar.probed.remove(0);
-            sidecar.balancer.probeEnded(sidecar.now, upstream, upstream == 1 ? first : Outcome.OK, 1,
-                    new double[] {upstream == 1 ? 30 : 0});
+            sidecar.balancer.probeEnded(
+                    sidecar.now, upstream, upstream == 1 ? first : Outcome.OK, 1, new double[] {upstream == 1 ? 30 : 0
+                    });
         }
     }
 
@@ -240,7 +255,11 @@
             sidecar.request(0);
             serve(sidecar, 50);
         }
-        assertEquals(0, sidecar.sent.stream().filter(s -> s.atMs > from && s.upstream == jammed).count());
+        assertEquals(
+                0,
+                sidecar.sent.stream()
+                        .filter(s -> s.atMs > from && s.upstream == jammed)
+                        .count());
         sidecar.pass(1500);
         for (int i = 0; i < 30; i++) {
             sidecar.request(0);
@@ -265,8 +284,10 @@
                 sidecar.end(out.get(0), Outcome.OK);
             }
         }
-        double served = small.stream().filter(id -> sidecar.attemptsOf(id).stream()
-                .anyMatch(s -> s.outcome == Outcome.OK)).count() / (double) small.size();
+        double served = small.stream()
+                        .filter(id -> sidecar.attemptsOf(id).stream().anyMatch(s -> s.outcome == Outcome.OK))
+                        .count()
+                / (double) small.size();
         assertTrue(served > 0.25, "of the class worth less: " + served);
         assertEquals(List.of(), sidecar.breaches);
     }
@@ -287,8 +308,13 @@
                 sidecar.request(0);
                 serve(sidecar, 20);
             }
-            held += (int) sidecar.sent.stream().map(s -> s.upstream).filter(id -> id > 100).distinct().count();
-            assertEquals(10, sidecar.sent.stream().map(s -> s.upstream).distinct().count());
+            held += (int) sidecar.sent.stream()
+                    .map(s -> s.upstream)
+                    .filter(id -> id > 100)
+                    .distinct()
+                    .count();
+            assertEquals(
+                    10, sidecar.sent.stream().map(s -> s.upstream).distinct().count());
         }
         assertTrue(held > 60 && held < 120, "of 200 places, about four in ten go to new servers: " + held);
     }
@@ -365,7 +391,9 @@
                 sidecar.request(0);
                 serve(sidecar, 50);
             }
-            burst += (int) sidecar.sent.stream().filter(s -> s.atMs >= from && s.upstream == 9).count();
+            burst += (int) sidecar.sent.stream()
+                    .filter(s -> s.atMs >= from && s.upstream == 9)
+                    .count();
         }
         // 40 sidecars, 2 requests a second, 5 members, a quarter warm: at 1.5 times the mean some 6 in a second.
         assertTrue(burst <= 14, "sent together in the first second: " + burst);
--- a/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
+++ b/sidecar/src/test/java/gradehub/benchlink/BenchLinkTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.IdleBalancer;
+import gradehub.LoadShiftingBalancer;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -19,13 +21,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import gradehub.IdleBalancer;
-import gradehub.LoadShiftingBalancer;
-
 /** Frames byte for byte, malformed input, and the main class over real streams. */
 class BenchLinkTest {
 
@@ -53,15 +51,23 @@
 
         Frame spawn(long seed, String settings) {
             byte[] text = settings.getBytes(StandardCharsets.UTF_8);
-            return put(1, 12 + text.length, b -> b.putLong(seed).putInt(text.length).put(text));
+            return put(
+                    1,
+                    12 + text.length,
+                    b -> b.putLong(seed).putInt(text.length).put(text));
         }
 
         Frame inventory(int bank, int... upstreams) {
             return put(11, 5 + 22 * upstreams.length, b -> {
                 b.put((byte) bank).putInt(upstreams.length);
                 for (int upstream : upstreams) {
-                    b.putDouble(0).putShort((short) 0).put((byte) 0).putShort((short) 0).putInt(upstream)
-                            .putFloat(1).put((byte) 1);
+                    b.putDouble(0)
+                            .putShort((short) 0)
+                            .put((byte) 0)
+                            .putShort((short) 0)
+                            .putInt(upstream)
+                            .putFloat(1)
+                            .put((byte) 1);
                 }
             });
         }
@@ -71,17 +77,33 @@
         }
 
         Frame call(int id) {
-            return put(3, 35, b -> b.putInt(id).put((byte) 0).putLong(0).putShort((short) 0).putDouble(4000)
-                    .putInt(0).putDouble(0));
+            return put(
+                    3,
+                    35,
+                    b -> b.putInt(id)
+                            .put((byte) 0)
+                            .putLong(0)
+                            .putShort((short) 0)
+                            .putDouble(4000)
+                            .putInt(0)
+                            .putDouble(0));
         }
 
         Frame verdict(int id, int upstream, int leg, int code, boolean complete) {
-            return put(5, 20, b -> b.putInt(id).putDouble(20).put((byte) (complete ? 1 : 0)).putInt(upstream)
-                    .put((byte) leg).put((byte) code).put((byte) 0));
+            return put(
+                    5,
+                    20,
+                    b -> b.putInt(id)
+                            .putDouble(20)
+                            .put((byte) (complete ? 1 : 0))
+                            .putInt(upstream)
+                            .put((byte) leg)
+                            .put((byte) code)
+                            .put((byte) 0));
         }
 
         Frame teardown() {
-            return put(10, 0, b -> { });
+            return put(10, 0, b -> {});
         }
 
         Frame put(int code, int bytes, Consumer<ByteBuffer> fields) {
@@ -141,7 +163,11 @@
                 actions.fetchList();
             }
         };
-        byte[] input = new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(77)).bytes(1, 12);
+        byte[] input = new Frame()
+                .at(3)
+                .spawn(1, SETTINGS)
+                .put(7, 4, b -> b.putInt(77))
+                .bytes(1, 12);
         String expected = "0c000000" + "0d000300"
                 + "0100c4913a5d0000000000005440074a1203"
                 + "04000700000002"
@@ -160,9 +186,20 @@
 
     @Test
     void aRequestIsSentAndReusedListNumbersAreTakenInOrder() throws IOException {
-        byte[] input = new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0)
-                .at(1).spawn(2, SETTINGS).inventory(0, 42).membership(2, 0)
-                .at(0).call(1).at(1).call(1).bytes(100, 1);
+        byte[] input = new Frame()
+                .at(0)
+                .spawn(1, SETTINGS)
+                .inventory(0, 41)
+                .membership(2, 0)
+                .at(1)
+                .spawn(2, SETTINGS)
+                .inventory(0, 42)
+                .membership(2, 0)
+                .at(0)
+                .call(1)
+                .at(1)
+                .call(1)
+                .bytes(100, 1);
         String reply = HexFormat.of().formatHex(run(input));
         assertTrue(reply.contains("29000000") && reply.contains("2a000000"), reply);
         int first = reply.indexOf("010001000000");
@@ -203,7 +240,7 @@
         while (in.hasRemaining()) {
             int end = in.getInt(in.position()) + 4 + in.position();
             int speaker = -1;
-            for (int at = in.position() + 8; at < end;) {
+            for (int at = in.position() + 8; at < end; ) {
                 int code = in.getShort(at);
                 int size = sizes[code] + (code == 9 || code == 10 ? in.getShort(at + 2) : 0);
                 if (code == 13) {
@@ -220,7 +257,13 @@
 
     @Test
     void eventsAfterATeardownAreIgnoredAndAFreshStartKnowsNothing() throws IOException {
-        byte[] input = new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0).teardown().call(1)
+        byte[] input = new Frame()
+                .at(0)
+                .spawn(1, SETTINGS)
+                .inventory(0, 41)
+                .membership(2, 0)
+                .teardown()
+                .call(1)
                 .bytes(100, 1);
         assertEquals("0400000001000000", HexFormat.of().formatHex(run(input)));
     }
@@ -233,26 +276,45 @@
                 throw new IllegalStateException("boom");
             }
         };
-        byte[] input = new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(1)).bytes(1, 1);
+        byte[] input =
+                new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(1)).bytes(1, 1);
         assertTrue(HexFormat.of().formatHex(run(factory, input)).endsWith("0d000300" + "0a000400" + "626f6f6d"));
     }
 
     @Test
     void missingOrUnreadableSettingsAreNamed() {
-        assertMalformed("record 1 at byte 24: settings: at least one request class is needed",
+        assertMalformed(
+                "record 1 at byte 24: settings: at least one request class is needed",
                 new Frame().at(0).spawn(1, "").bytes(1, 1));
-        assertMalformed("lanes.0.hardLimitMs is missing", new Frame().at(0).spawn(1, "lanes.count=1\n").bytes(1, 1));
-        assertMalformed("lanes.count is not a number: one",
+        assertMalformed(
+                "lanes.0.hardLimitMs is missing",
+                new Frame().at(0).spawn(1, "lanes.count=1\n").bytes(1, 1));
+        assertMalformed(
+                "lanes.count is not a number: one",
                 new Frame().at(0).spawn(1, "lanes.count=one\n").bytes(1, 1));
-        assertMalformed("is not a number: soon",
+        assertMalformed(
+                "is not a number: soon",
                 new Frame().at(0).spawn(1, SETTINGS.replace("4000.0", "soon")).bytes(1, 1));
     }
 
     @Test
     void unknownSettingsArePassedOver() throws IOException {
-        byte[] plain = run(new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0).call(1).bytes(5, 1));
-        assertArrayEquals(plain, run(new Frame().at(0).spawn(1, SETTINGS + "\nnever.heard=of\n").inventory(0, 41)
-                .membership(2, 0).call(1).bytes(5, 1)));
+        byte[] plain = run(new Frame()
+                .at(0)
+                .spawn(1, SETTINGS)
+                .inventory(0, 41)
+                .membership(2, 0)
+                .call(1)
+                .bytes(5, 1));
+        assertArrayEquals(
+                plain,
+                run(new Frame()
+                        .at(0)
+                        .spawn(1, SETTINGS + "\nnever.heard=of\n")
+                        .inventory(0, 41)
+                        .membership(2, 0)
+                        .call(1)
+                        .bytes(5, 1)));
     }
 
     @Test
@@ -266,20 +328,53 @@
         byte[] huge = good.clone();
         huge[11] = 0x7f;
         assertMalformed("length field", huge);
-        assertMalformed("unknown event code 99", new Frame().at(0).put(99, 0, b -> { }).bytes(1, 1));
+        assertMalformed(
+                "unknown event code 99", new Frame().at(0).put(99, 0, b -> {}).bytes(1, 1));
         assertMalformed("before any instance", new Frame().call(1).bytes(1, 1));
         byte[] fewer = new Frame().at(0).call(1).bytes(1, 1);
         fewer[12] = 1;
         assertMalformed("follow the last record", fewer);
-        assertMalformed("unknown class 7", new Frame().at(0).spawn(1, SETTINGS).put(3, 35, b -> b.putInt(1)
-                .put((byte) 0).putLong(0).putShort((short) 7).putDouble(100).putInt(0).putDouble(0)).bytes(1, 1));
-        assertMalformed("list number 16", new Frame().at(0).put(11, 5, b -> b.put((byte) 16).putInt(0)).bytes(1, 1));
-        assertMalformed("unknown list kind 4", new Frame().at(0).membership(4, 0).bytes(1, 1));
-        assertMalformed("unknown status 3", new Frame().at(0).put(11, 27, b -> b.put((byte) 0).putInt(1).putDouble(0)
-                .putShort((short) 0).put((byte) 0).putShort((short) 0).putInt(1).putFloat(1).put((byte) 3))
-                .bytes(1, 1));
+        assertMalformed(
+                "unknown class 7",
+                new Frame()
+                        .at(0)
+                        .spawn(1, SETTINGS)
+                        .put(
+                                3,
+                                35,
+                                b -> b.putInt(1)
+                                        .put((byte) 0)
+                                        .putLong(0)
+                                        .putShort((short) 7)
+                                        .putDouble(100)
+                                        .putInt(0)
+                                        .putDouble(0))
+                        .bytes(1, 1));
+        assertMalformed(
+                "list number 16",
+                new Frame().at(0).put(11, 5, b -> b.put((byte) 16).putInt(0)).bytes(1, 1));
+        assertMalformed(
+                "unknown list kind 4", new Frame().at(0).membership(4, 0).bytes(1, 1));
+        assertMalformed(
+                "unknown status 3",
+                new Frame()
+                        .at(0)
+                        .put(
+                                11,
+                                27,
+                                b -> b.put((byte) 0)
+                                        .putInt(1)
+                                        .putDouble(0)
+                                        .putShort((short) 0)
+                                        .put((byte) 0)
+                                        .putShort((short) 0)
+                                        .putInt(1)
+                                        .putFloat(1)
+                                        .put((byte) 3))
+                        .bytes(1, 1));
         assertMalformed("outcome 9", new Frame().at(0).verdict(1, 1, 0, 9, true).bytes(1, 1));
-        assertMalformed("past the end",
+        assertMalformed(
+                "past the end",
                 new Frame().at(0).put(11, 5, b -> b.put((byte) 0).putInt(-1)).bytes(1, 1));
     }
 
@@ -290,7 +385,14 @@
 
     @Test
     void theMainClassRunsOverRealStreams(@TempDir Path dir) throws Exception {
-        byte[] good = join(new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0).call(1).bytes(5, 1),
+        byte[] good = join(
+                new Frame()
+                        .at(0)
+                        .spawn(1, SETTINGS)
+                        .inventory(0, 41)
+                        .membership(2, 0)
+                        .call(1)
+                        .bytes(5, 1),
                 new Frame().bytes(10, 2));
         Result fine = launch(dir, good);
         assertEquals(0, fine.exit);
@@ -303,20 +405,27 @@
         Result unset = launch(dir, new Frame().at(0).spawn(1, "lanes.count=1\n").bytes(1, 1));
         assertTrue(unset.exit != 0);
         assertEquals(0, unset.out.length);
-        assertEquals("gradehub: batch 1, record 1 at byte 24: settings: setting lanes.0.hardLimitMs is missing",
+        assertEquals(
+                "gradehub: batch 1, record 1 at byte 24: settings: setting lanes.0.hardLimitMs is missing",
                 unset.err.trim());
     }
 
-    private record Result(int exit, byte[] out, String err) {
-    }
+    private record Result(int exit, byte[] out, String err) {}
 
     private static Result launch(Path dir, byte[] input) throws Exception {
         Path in = Files.write(dir.resolve("in"), input);
         Path out = dir.resolve("out");
         Path err = dir.resolve("err");
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", "target/classes", "gradehub.Main", "benchlink")
-                .redirectInput(in.toFile()).redirectOutput(out.toFile()).redirectError(err.toFile()).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        "target/classes",
+                        "gradehub.Main",
+                        "benchlink")
+                .redirectInput(in.toFile())
+                .redirectOutput(out.toFile())
+                .redirectError(err.toFile())
+                .start();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         return new Result(process.exitValue(), Files.readAllBytes(out), Files.readString(err));
     }
--- a/sidecar/src/test/java/gradehub/node/BadClientTest.java
+++ b/sidecar/src/test/java/gradehub/node/BadClientTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,14 +31,21 @@
 
     /** Where its end could be read in two ways a request may hide another: the connection ends with the error. */
     @ParameterizedTest
-    @CsvSource({"Transfer-Encoding: chunked,400", "Content-Length: 9,400", "Transfer-Encoding: gzip,400",
-        "Transfer-Encoding : chunked,400", "no colon,400", "X-Txn: 00000000000000ff,400", "X-Lane: window-read,400",
-        "X-Remaining-Ms: 5,400", "Expect: a miracle,417"})
+    @CsvSource({
+        "Transfer-Encoding: chunked,400",
+        "Content-Length: 9,400",
+        "Transfer-Encoding: gzip,400",
+        "Transfer-Encoding : chunked,400",
+        "no colon,400",
+        "X-Txn: 00000000000000ff,400",
+        "X-Lane: window-read,400",
+        "X-Remaining-Ms: 5,400",
+        "Expect: a miracle,417"
+    })
     void aRequestThatCouldBeReadInTwoWaysGoesNowhere(String header, int status) throws Exception {
         rig.start(list);
         try (Wire client = rig.client()) {
-            client.send(Rig.post(Rig.id(1), "x").replace("Host:", header + "\r\nHost:")
-                    + Rig.get(Rig.id(2)));
+            client.send(Rig.post(Rig.id(1), "x").replace("Host:", header + "\r\nHost:") + Rig.get(Rig.id(2)));
             assertEquals(status, client.read().status());
             assertTrue(client.ends());
         }
@@ -47,8 +53,14 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"X-Txn: 1", "X-Txn: zzzzzzzzzzzzzzzz", "X-Remaining-Ms: -5", "X-Remaining-Ms: ''", "Content-Length: -4",
-        "Content-Length: ten"})
+    @CsvSource({
+        "X-Txn: 1",
+        "X-Txn: zzzzzzzzzzzzzzzz",
+        "X-Remaining-Ms: -5",
+        "X-Remaining-Ms: ''",
+        "Content-Length: -4",
+        "Content-Length: ten"
+    })
     void aFigureThatIsNoneGoesNowhere(String header) throws Exception {
         rig.start(list);
         String name = header.substring(0, header.indexOf(':'));
@@ -70,7 +82,8 @@
     @Test
     void theIdentifierOfAnOpenRequestIsTurnedDown() throws Exception {
         rig.start(list);
-        try (Wire client = rig.client(); Wire other = rig.client()) {
+        try (Wire client = rig.client();
+                Wire other = rig.client()) {
             client.send(Rig.get(Rig.id(1)));
             Wire up = Rig.accept(upstream);
             up.read();
@@ -85,7 +98,8 @@
     void anErrorKeepsItsPlaceAndIsNotDestroyedByTheClose() throws Exception {
         rig.start(list);
         try (Wire client = rig.client()) {
-            client.send(Rig.get(Rig.id(1)) + Rig.post(Rig.id(2), "x").replace("Length: 1", "Length: 60000000")
+            client.send(Rig.get(Rig.id(1))
+                    + Rig.post(Rig.id(2), "x").replace("Length: 1", "Length: 60000000")
                     + "b".repeat(100_000));
             Wire up = Rig.accept(upstream);
             up.read();
@@ -100,8 +114,8 @@
     void aChunkedBodyThatGrowsTooLongIsTurnedDown() throws Exception {
         rig.start(list);
         try (Wire client = rig.client()) {
-            client.send(Rig.post(Rig.id(1), "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
-                    + "11000\r\n" + "b".repeat(0x11000) + "\r\n");
+            client.send(Rig.post(Rig.id(1), "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "11000\r\n"
+                    + "b".repeat(0x11000) + "\r\n");
             assertEquals(413, client.read().status());
         }
     }
@@ -109,7 +123,9 @@
     @Test
     void aRequestWithoutEndIsTurnedDownInTime() throws Exception {
         rig.start(list);
-        try (Wire silent = rig.client(); Wire slow = rig.client(); Wire half = rig.client();
+        try (Wire silent = rig.client();
+                Wire slow = rig.client();
+                Wire half = rig.client();
                 Wire endless = rig.client()) {
             slow.send("GET /window-read HTTP/1.1\r\nX-T");
             half.send(Rig.post(Rig.id(1), "x").replace("Length: 1", "Length: 5"));
--- a/sidecar/src/test/java/gradehub/node/ClientEndTest.java
+++ b/sidecar/src/test/java/gradehub/node/ClientEndTest.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -70,7 +69,8 @@
     void aRequestThatHasComeWholeIsNotTurnedDownAsSlow() throws Throwable {
         start(1024);
         String request = Rig.post(Rig.id(1), "body");
-        try (Wire client = rig.client(); Wire later = rig.client()) {
+        try (Wire client = rig.client();
+                Wire later = rig.client()) {
             client.send(request.substring(0, request.length() - 2));
             later.send(READY).read(); // by now the first part has been read
             lookAfter(REQUEST_MS + 100, client, request.substring(request.length() - 2));
@@ -151,8 +151,11 @@
             rig.whileHeld(() -> {
                 rig.sidecar().loop().execute(rig.sidecar()::endConnections);
                 // A close is told of by a task of its own: the count comes behind that.
-                rig.sidecar().loop().execute(() -> rig.sidecar().loop()
-                        .execute(() -> open.complete(rig.sidecar().clients())));
+                rig.sidecar()
+                        .loop()
+                        .execute(() -> rig.sidecar()
+                                .loop()
+                                .execute(() -> open.complete(rig.sidecar().clients())));
             });
             assertTrue(client.ends());
         }
--- a/sidecar/src/test/java/gradehub/node/ConfigTest.java
+++ b/sidecar/src/test/java/gradehub/node/ConfigTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gradehub.Balancer.Effect;
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
@@ -11,14 +13,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import gradehub.Balancer.Effect;
-
 /** The configuration, and the real program's ways to end. */
 class ConfigTest {
 
@@ -58,8 +55,8 @@
     void theProgramExitsWithTwoOnABadConfiguration(@TempDir Path dir) throws Exception {
         Path file = Files.writeString(dir.resolve("config.json"), "{}");
         Process process = serve(file);
-        try (BufferedReader log = new BufferedReader(new InputStreamReader(process.getErrorStream(),
-                StandardCharsets.UTF_8))) {
+        try (BufferedReader log =
+                new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8))) {
             assertEquals("gradehub: settings: missing, or no object", log.readLine());
         }
         assertTrue(process.waitFor(Wire.PATIENCE_MS, TimeUnit.MILLISECONDS));
@@ -70,11 +67,12 @@
     @Test
     void theProgramEndsWellOnSigterm(@TempDir Path dir) throws Exception {
         try (Rig rig = new Rig()) {
-            Path file = Files.writeString(dir.resolve("config.json"), rig.config(Rig.list(1, true)).toString());
+            Path file = Files.writeString(
+                    dir.resolve("config.json"), rig.config(Rig.list(1, true)).toString());
             Process process = serve(file);
             // It watches once it runs; the log then tells that it listens.
-            try (BufferedReader log = new BufferedReader(new InputStreamReader(process.getErrorStream(),
-                    StandardCharsets.UTF_8))) {
+            try (BufferedReader log =
+                    new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8))) {
                 String line = log.readLine();
                 while (line != null && !line.contains("listening")) {
                     line = log.readLine();
@@ -89,8 +87,12 @@
     }
 
     private static Process serve(Path config) throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "gradehub.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gradehub.Main",
+                "serve");
         builder.environment().put("BALANCER_CONFIG", config.toString());
         return builder.start();
     }
--- a/sidecar/src/test/java/gradehub/node/DescriptorTest.java
+++ b/sidecar/src/test/java/gradehub/node/DescriptorTest.java
@@ -2,13 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.ChannelException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-
-import io.netty.channel.ChannelException;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -3,28 +3,25 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.Balancer;
+import gradehub.Balancer.AttemptEnd;
+import gradehub.Balancer.Outcome;
+import gradehub.Balancer.Request;
+import gradehub.IdleBalancer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import gradehub.Balancer;
-import gradehub.Balancer.AttemptEnd;
-import gradehub.Balancer.Outcome;
-import gradehub.Balancer.Request;
-import gradehub.IdleBalancer;
-
 /** How the engine drives a module, with modules that behave badly. */
 class EngineTest {
 
@@ -41,15 +38,25 @@
     private Engine engine(Function<Balancer.Actions, Balancer> module) throws Exception {
         try (Rig rig = new Rig()) {
             Config config = Config.of(rig.config(null));
-            return loop.submit(() -> new Engine(loop, new Clock(), config, new SocketBudget(1024),
-                    LookingChannel::new, module)).get();
+            return loop.submit(() ->
+                            new Engine(loop, new Clock(), config, new SocketBudget(1024), LookingChannel::new, module))
+                    .get();
         }
     }
 
     private Answer ask(Engine engine, double remainingMs) throws Exception {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        ClientRequest request = new ClientRequest("0000000000000001", 1, 0, remainingMs, false, 0, HttpMethod.POST, "/event-submit",
-                new DefaultHttpHeaders(), new byte[0]);
+        ClientRequest request = new ClientRequest(
+                "0000000000000001",
+                1,
+                0,
+                remainingMs,
+                false,
+                0,
+                HttpMethod.POST,
+                "/event-submit",
+                new DefaultHttpHeaders(),
+                new byte[0]);
         loop.execute(() -> engine.request(request, new Engine.Client() {
             @Override
             public void answer(Answer given) {
@@ -175,7 +182,13 @@
         });
         assertEquals(502, ask(engine, 30_000).status());
         assertEquals(0, inHand(engine));
-        assertEquals(List.of("request", "end of request", "0 " + Outcome.CONNECT_FAILED, "1 " + Outcome.CONNECT_FAILED,
-                "2 " + Outcome.NOT_SENT), told);
+        assertEquals(
+                List.of(
+                        "request",
+                        "end of request",
+                        "0 " + Outcome.CONNECT_FAILED,
+                        "1 " + Outcome.CONNECT_FAILED,
+                        "2 " + Outcome.NOT_SENT),
+                told);
     }
 }
--- a/sidecar/src/test/java/gradehub/node/LastLookTest.java
+++ b/sidecar/src/test/java/gradehub/node/LastLookTest.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,7 +54,8 @@
     void aRequestWhoseClientLeavesTheQueueIsNotSentOn() throws Throwable {
         rig.start(one("leaving", upstream));
         Wire leaving = rig.client();
-        try (Wire watch = rig.watch(); Wire other = rig.client()) {
+        try (Wire watch = rig.watch();
+                Wire other = rig.client()) {
             leaving.send(Rig.post(Rig.id(1), "x"));
             rig.awaitInHand(1);
             rig.whileHeld(() -> {
@@ -73,7 +73,8 @@
     void aRequestWhoseClientSendsMuchAndLeavesTheQueueIsNotSentOn() throws Throwable {
         rig.start(one("leaving", upstream));
         Wire leaving = rig.client();
-        try (Wire watch = rig.watch(); Wire other = rig.client()) {
+        try (Wire watch = rig.watch();
+                Wire other = rig.client()) {
             leaving.send(Rig.post(Rig.id(1), "x"));
             rig.awaitInHand(1);
             rig.whileHeld(() -> {
@@ -109,7 +110,8 @@
     @Test
     void aClientThatSendsMoreHasNotLeft() throws Throwable {
         rig.start(one("leaving", upstream));
-        try (Wire watch = rig.watch(); Wire client = rig.client()) {
+        try (Wire watch = rig.watch();
+                Wire client = rig.client()) {
             client.send(Rig.post(Rig.id(1), "x"));
             rig.awaitInHand(1);
             rig.whileHeld(() -> {
@@ -168,10 +170,14 @@
     void aRequestThatWaitsForAnUpstreamThatLeavesGoesToAnother() throws Throwable {
         try (Rig.Gate slow = new Rig.Gate()) {
             rig.start(one("active", slow.listener));
-            try (Wire watch = rig.watch(); Wire client = rig.client()) {
+            try (Wire watch = rig.watch();
+                    Wire client = rig.client()) {
                 client.send(Rig.post(Rig.id(1), "x"));
                 rig.awaitInHand(1);
-                watch.send(Rig.chunk(Rig.list(2, false, Rig.member("u1", Rig.address(slow.listener), "leaving"),
+                watch.send(Rig.chunk(Rig.list(
+                        2,
+                        false,
+                        Rig.member("u1", Rig.address(slow.listener), "leaving"),
                         Rig.member("u2", Rig.address(upstream), "active"))));
                 Wire up = Rig.accept(upstream);
                 assertEquals(Rig.id(1), up.read().header("X-Txn"));
@@ -186,9 +192,12 @@
     void aKeyedRequestThatMayHaveRunIsNotRepeatedAfterItsWindow() throws Throwable {
         int windowMs = 1500;
         try (Rig.Gate slow = new Rig.Gate()) {
-            rig.startWith(one("active", upstream), "\"fragile\",\"group\":\"all\"",
+            rig.startWith(
+                    one("active", upstream),
+                    "\"fragile\",\"group\":\"all\"",
                     "\"dedup\",\"group\":\"all\",\"windowMs\":" + windowMs);
-            try (Wire watch = rig.watch(); Wire client = rig.client()) {
+            try (Wire watch = rig.watch();
+                    Wire client = rig.client()) {
                 client.send(Rig.post(Rig.id(1), "x").replace("Host:", "Idempotency-Key: k1\r\nHost:"));
                 Wire up = Rig.accept(upstream);
                 up.read();
--- a/sidecar/src/test/java/gradehub/node/RehearsalTest.java
+++ b/sidecar/src/test/java/gradehub/node/RehearsalTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 
 /** What a sidecar does before it listens. */
--- a/sidecar/src/test/java/gradehub/node/ReloadTest.java
+++ b/sidecar/src/test/java/gradehub/node/ReloadTest.java
@@ -3,15 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -28,8 +26,14 @@
     }
 
     private static void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(ProcessHandle.current().pid())).start()
-                .waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder(
+                                "kill",
+                                "-HUP",
+                                String.valueOf(ProcessHandle.current().pid()))
+                        .start()
+                        .waitFor());
     }
 
     /** Without a handler this ends the virtual machine; one that comes early counts all the same. */
@@ -79,7 +83,8 @@
             rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active")));
             Wire watch = rig.watch();
             rig.sidecar().reload(file("{\"discovery\":"));
-            rig.sidecar().reload(Map.of("BALANCER_CONFIG", folder.resolve("missing").toString()));
+            rig.sidecar()
+                    .reload(Map.of("BALANCER_CONFIG", folder.resolve("missing").toString()));
             try (Wire client = rig.client()) {
                 client.send(Rig.get(Rig.id(1)));
                 Wire up = Rig.accept(upstream);
--- a/sidecar/src/test/java/gradehub/node/RepeatTest.java
+++ b/sidecar/src/test/java/gradehub/node/RepeatTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -125,7 +124,9 @@
     /** A client may state more patience than its class has. */
     @Test
     void theDeadlineOfTheSettingsEndsARequest() throws Exception {
-        rig.startWith(list, "20000,\"hardLimitMs\":60000,\"idempotency\":\"fragile\"",
+        rig.startWith(
+                list,
+                "20000,\"hardLimitMs\":60000,\"idempotency\":\"fragile\"",
                 "2000,\"hardLimitMs\":2000,\"idempotency\":\"fragile\"");
         try (Wire client = rig.client()) {
             client.send(Rig.post(Rig.id(1), "x"));
--- a/sidecar/src/test/java/gradehub/node/Rig.java
+++ b/sidecar/src/test/java/gradehub/node/Rig.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,9 +14,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 import org.junit.jupiter.api.function.Executable;
 
 /** A sidecar on loopback with listeners for its upstreams and for discovery, which the test itself plays. */
@@ -68,14 +66,16 @@
     }
 
     static String list(int revision, boolean complete, String... members) {
-        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":["
-                + String.join(",", members) + "]}";
+        return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + String.join(",", members)
+                + "]}";
     }
 
     /** A configuration for this rig; {@code known} may be null. */
     ObjectNode config(String known) throws IOException {
         ObjectNode root = Config.JSON.createObjectNode();
-        root.put("name", "n0").put("listen", "127.0.0.1:0").put("discovery", address(discovery))
+        root.put("name", "n0")
+                .put("listen", "127.0.0.1:0")
+                .put("discovery", address(discovery))
                 .put("seed", "8c1f30d27a5be964");
         root.putObject("limits").put("sockets", 1024).put("unheard_of", true);
         root.set("settings", Config.JSON.readTree(SETTINGS));
--- a/sidecar/src/test/java/gradehub/node/SidecarTest.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarTest.java
@@ -6,15 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.node.Wire.Message;
 import java.io.IOException;
 import java.net.ServerSocket;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import gradehub.node.Wire.Message;
-
 /** The whole sidecar over loopback sockets, with the test as client, upstream and discovery. */
 class SidecarTest {
 
@@ -33,7 +31,8 @@
     }
 
     private Wire startWithOne() throws Exception {
-        return rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active"))).client();
+        return rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active")))
+                .client();
     }
 
     @Test
@@ -214,7 +213,10 @@
 
     @Test
     void whatCouldNotConnectGoesToAnotherUpstream() throws Exception {
-        rig.start(Rig.list(1, true, Rig.member("dead", rig.deadAddress(), "active"),
+        rig.start(Rig.list(
+                1,
+                true,
+                Rig.member("dead", rig.deadAddress(), "active"),
                 Rig.member("u1", Rig.address(upstream), "active")));
         // Each of several is drawn at random: whichever come to the dead one first must go on to the other.
         Wire up = null;
@@ -339,7 +341,8 @@
     @Test
     void itIsReadyOnceItHasAList() throws Exception {
         rig.start(null);
-        try (Wire client = rig.client(); Wire watch = rig.watch()) {
+        try (Wire client = rig.client();
+                Wire watch = rig.watch()) {
             String ready = "GET /ready HTTP/1.1\r\n\r\n";
             assertEquals(503, client.send(ready).read().status());
             watch.send(Rig.chunk(Rig.list(3, true, Rig.member("u1", Rig.address(upstream), "active"))));
@@ -354,15 +357,20 @@
     /** Nothing new goes to an upstream that drains, nor over a connection that it had before. */
     @Test
     void aDrainingUpstreamGetsNothingNew() throws Exception {
-        try (Wire client = startWithOne(); Wire watch = rig.watch(); ServerSocket other = rig.listener()) {
+        try (Wire client = startWithOne();
+                Wire watch = rig.watch();
+                ServerSocket other = rig.listener()) {
             client.send(Rig.get(Rig.id(1)));
             Wire up = Rig.accept(upstream);
             up.read();
             up.send(Rig.answer("200 OK", "one"));
             client.read();
-            watch.send(Rig.chunk("")).send(Rig.chunk(Rig.list(2, false,
-                    Rig.member("u1", Rig.address(upstream), "leaving"),
-                    Rig.member("u2", Rig.address(other), "active"))));
+            watch.send(Rig.chunk(""))
+                    .send(Rig.chunk(Rig.list(
+                            2,
+                            false,
+                            Rig.member("u1", Rig.address(upstream), "leaving"),
+                            Rig.member("u2", Rig.address(other), "active"))));
             assertTrue(up.ends(), "its idle connection is closed once the change is known");
             client.send(Rig.get(Rig.id(2)));
             assertEquals(Rig.id(2), Rig.accept(other).read().header("X-Txn"));
@@ -371,7 +379,9 @@
 
     @Test
     void anUpstreamThatMovesIsMetAtItsNewAddress() throws Exception {
-        try (Wire client = startWithOne(); Wire watch = rig.watch(); ServerSocket moved = rig.listener()) {
+        try (Wire client = startWithOne();
+                Wire watch = rig.watch();
+                ServerSocket moved = rig.listener()) {
             client.send(Rig.get(Rig.id(1)));
             Wire up = Rig.accept(upstream);
             up.read();
@@ -391,14 +401,18 @@
         assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().first());
         watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Rig.chunk(Rig.list(9, false)));
         watch.close();
-        assertEquals("GET /v1/endpoints?watch=1&from=9 HTTP/1.1", Rig.accept(rig.discovery).read().first());
+        assertEquals(
+                "GET /v1/endpoints?watch=1&from=9 HTTP/1.1",
+                Rig.accept(rig.discovery).read().first());
     }
 
     @Test
     void rubbishFromDiscoveryIsLeftAndTheWatchOpenedAgain() throws Exception {
         rig.start(Rig.list(7, true, Rig.member("u1", Rig.address(upstream), "active")));
         rig.watch().send(Rig.chunk("{\"revision\":8,\"members\":[{\"id\":\"u1\"}]}"));
-        assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", Rig.accept(rig.discovery).read().first());
+        assertEquals(
+                "GET /v1/endpoints?watch=1&from=7 HTTP/1.1",
+                Rig.accept(rig.discovery).read().first());
         try (Wire client = rig.client()) {
             client.send(Rig.get(Rig.id(1)));
             assertEquals(Rig.id(1), Rig.accept(upstream).read().header("X-Txn"), "the list before it stands");
@@ -409,7 +423,8 @@
     @Test
     void connectionsToUpstreamsLeaveRoomForClients() throws Exception {
         rig.start(Rig.list(1, true, Rig.member("u1", Rig.address(upstream), "active")), SocketBudget.LEAST + 4);
-        try (Wire first = rig.client(); Wire second = rig.client()) {
+        try (Wire first = rig.client();
+                Wire second = rig.client()) {
             first.send(Rig.get(Rig.id(1)));
             Wire up = Rig.accept(upstream);
             up.read();
--- a/sidecar/src/test/java/gradehub/node/SizeTest.java
+++ b/sidecar/src/test/java/gradehub/node/SizeTest.java
@@ -3,7 +3,6 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 /** A fleet as large as any that is to be expected. */
--- a/sidecar/src/test/java/gradehub/node/SpoiltAnswerTest.java
+++ b/sidecar/src/test/java/gradehub/node/SpoiltAnswerTest.java
@@ -6,7 +6,6 @@
 
 import java.net.ServerSocket;
 import java.util.List;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,7 +32,9 @@
 
     /** What follows an answer would be taken for the next one: a client would get what was made for another. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none", "HTTP/1.1 200 OK\r\nContent-", "\1\2\3 noise"})
+    @ValueSource(
+            strings = {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none", "HTTP/1.1 200 OK\r\nContent-", "\1\2\3 noise"
+            })
     void whatFollowsAnAnswerEndsItsConnection(String behind) throws Exception {
         try (Wire client = rig.client()) {
             client.send(Rig.get(Rig.id(1)));
@@ -88,15 +89,17 @@
 
     /** An unsafe request shows it at once: it may have run, so it fails, and the connection is not waited for. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
-        "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nok",
-        "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nX-Pa"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
+                "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nok",
+                "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nX-Pa"
+            })
     void aSpoiltAnswerIsAFailedAttemptThatMayHaveRun(String answer) throws Exception {
         try (Wire client = rig.client()) {
             client.send(Rig.post(Rig.id(1), "x"));
@@ -148,7 +151,8 @@
     /** A request that waits for an upstream goes to the first that is listed: it is known before the module asks. */
     @Test
     void aNewUpstreamIsSentToAtOnce() throws Exception {
-        try (Rig empty = new Rig(); ServerSocket first = empty.listener()) {
+        try (Rig empty = new Rig();
+                ServerSocket first = empty.listener()) {
             empty.start(Rig.list(1, true, Rig.member("u0", Rig.address(first), "leaving")));
             Wire watch = empty.watch();
             try (Wire client = empty.client()) {
@@ -168,8 +172,18 @@
     void aReportThatCannotBeReadIsNone() {
         LoadReport reports = new LoadReport(List.of("rps", "cpu"));
         assertArrayEquals(new double[] {2, 0.5}, reports.read("cpu=0.5, rps=2"));
-        for (String bad : List.of("", "=,=", "%%%", "{\"", "rps=2", "rps=2,cpu=", "rps=2,cpu=NaN",
-                "rps=2,cpu=Infinity", "rps=-2,cpu=1", "rps=2,cpu=1e999", "rps=two,cpu=1")) {
+        for (String bad : List.of(
+                "",
+                "=,=",
+                "%%%",
+                "{\"",
+                "rps=2",
+                "rps=2,cpu=",
+                "rps=2,cpu=NaN",
+                "rps=2,cpu=Infinity",
+                "rps=-2,cpu=1",
+                "rps=2,cpu=1e999",
+                "rps=two,cpu=1")) {
             assertEquals(0, reports.read(bad).length, bad);
         }
     }
--- a/sidecar/src/test/java/gradehub/node/StopTest.java
+++ b/sidecar/src/test/java/gradehub/node/StopTest.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -81,7 +80,8 @@
     void aRequestThatIsHalfReadIsReadToItsEndAndServed() throws Exception {
         start("active");
         String request = Rig.post(Rig.id(1), "body");
-        try (Wire client = ready(); Wire resting = ready()) {
+        try (Wire client = ready();
+                Wire resting = ready()) {
             client.send(request.substring(0, request.length() - 2));
             try (Wire later = ready()) {
                 stop();
@@ -125,7 +125,9 @@
     @Test
     void whatWaitsInTheQueueIsServedWhenAnUpstreamComes() throws Exception {
         start("leaving");
-        try (Wire watch = rig.watch(); Wire client = ready(); Wire resting = ready()) {
+        try (Wire watch = rig.watch();
+                Wire client = ready();
+                Wire resting = ready()) {
             client.send(Rig.post(Rig.id(1), "x"));
             rig.awaitInHand(1);
             stop();
@@ -140,7 +142,8 @@
     @Test
     void requestsOnNewAndOnKeptConnectionsAreServedMeanwhile() throws Exception {
         start("active");
-        try (Wire kept = ready(); Wire inFlight = ready()) {
+        try (Wire kept = ready();
+                Wire inFlight = ready()) {
             inFlight.send(Rig.post(Rig.id(1), "x"));
             Wire up = Rig.accept(upstream);
             up.read();
--- a/sidecar/src/test/java/gradehub/node/WatchTest.java
+++ b/sidecar/src/test/java/gradehub/node/WatchTest.java
@@ -3,10 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.ServerSocket;
-
 import com.fasterxml.jackson.databind.JsonNode;
-
+import java.net.ServerSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,7 +32,10 @@
     }
 
     private String moved(int revision) {
-        return Rig.list(revision, false, Rig.member("u1", Rig.address(first), "leaving"),
+        return Rig.list(
+                revision,
+                false,
+                Rig.member("u1", Rig.address(first), "leaving"),
                 Rig.member("u2", Rig.address(second), "active"));
     }
 
@@ -88,7 +89,9 @@
         try (Wire watch = rig.watch()) {
             watch.send(Rig.chunk(torn)).send(Rig.chunk(""));
             assertTrue(watch.ends());
-            assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", Rig.accept(rig.discovery).read().first());
+            assertEquals(
+                    "GET /v1/endpoints?watch=1&from=7 HTTP/1.1",
+                    Rig.accept(rig.discovery).read().first());
         }
     }
 
@@ -100,7 +103,8 @@
             silent.send(Rig.chunk(""));
             long silentNanos = System.nanoTime();
             Wire watch = Rig.accept(rig.discovery);
-            assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().first());
+            assertEquals(
+                    "GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().first());
             long afterMs = (System.nanoTime() - silentNanos) / 1_000_000;
             assertTrue(afterMs >= 2000, "an empty line comes every 2 s, it was not silent yet after " + afterMs);
             assertTrue(afterMs < 5000, "what it misses counts as told after 6 s, it was silent for " + afterMs);
