--- a/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
+++ b/sidecar/src/main/java/gradehub/LoadShiftingBalancer.java
@@ -63,8 +63,8 @@
     private final HostList list = new HostList();
     private final List<Host> members = list.members;
     private final Map<Integer, Call> calls = new HashMap<>();
-    private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparingDouble((Call call) -> -call.value)
-            .thenComparingLong(call -> -call.order));
+    private final TreeSet<Call> waiting = new TreeSet<>(
+            Comparator.comparingDouble((Call call) -> -call.value).thenComparingLong(call -> -call.order));
     private long received;
     private double meanCostMs; // of the requests that came with a hint
     private long hinted;
@@ -88,8 +88,9 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        settings.classes().forEach(spec -> classes.add(
-                new ClassView(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec))));
+        for (RequestClass spec : settings.classes()) {
+            classes.add(new ClassView(spec, spec.aimMs() / FIRST_TYPICAL, jitterMs(spec)));
+        }
         asks = settings.limits().probes() && settings.reportsOnProbe();
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
@@ -129,13 +130,18 @@
 
     /** What an answer adds to the goal: to the whole and to a worst class that fares badly. */
     private double worth(ClassView view) {
-        double offered = classes.stream().mapToDouble(other -> other.offered * other.spec.worth()).sum();
-        boolean starved = view.served < WELL_SERVED * view.offered && classes.stream().noneMatch(
-                other -> other.served * view.offered < view.served * other.offered);
+        double offered = classes.stream()
+                .mapToDouble(other -> other.offered * other.spec.worth())
+                .sum();
+        boolean starved = view.served < WELL_SERVED * view.offered && isServedWorst(view);
         double lift = starved ? settings.goal().worstClass() * offered / view.offered : 0;
         return settings.goal().whole() * view.spec.worth() + lift;
     }
 
+    private boolean isServedWorst(ClassView view) {
+        return classes.stream().noneMatch(other -> other.served * view.offered < view.served * other.offered);
+    }
+
     private void place(double nowMs, Call call) {
         if (call.usefulUntilMs - nowMs <= Math.max(call.view.typicalMs / 2, call.costMs)
                 || call.attempts.isEmpty() && sparse() && random.nextDouble() > THROTTLE * inTime.value()) {
@@ -160,7 +166,8 @@
 
     /** Draws a member in proportion to the shares; departures only take members out, never most as faulty. */
     private Host pick(double nowMs, Call call) {
-        long faulty = members.stream().filter(host -> avoided(nowMs, call, host)).count();
+        long faulty =
+                members.stream().filter(host -> avoided(nowMs, call, host)).count();
         boolean avoid = 2 * faulty <= members.size();
         Host drawn = null; // each replaces the one before with its part of the sum so far: a draw by weight
         double sum = 0;
@@ -231,7 +238,8 @@
     private void fillSubset(double nowMs) {
         List<Host> candidates = list.candidates();
         list.normalise();
-        double weights = members.stream().mapToDouble(host -> host.listed.weight()).sum();
+        double weights =
+                members.stream().mapToDouble(host -> host.listed.weight()).sum();
         while (!candidates.isEmpty()) {
             Host host = candidates.remove(random.nextInt(candidates.size()));
             boolean full = members.size() >= subsetSize();
@@ -276,8 +284,10 @@
         shed = 0;
         if (yielded > 0 != yielding) {
             yielding = yielded > 0;
-            actions.log(yielding ? "clients run out of connections: refusing what is worth least for its time"
-                    : "clients have connections left again");
+            actions.log(
+                    yielding
+                            ? "clients run out of connections: refusing what is worth least for its time"
+                            : "clients have connections left again");
         }
         yielded = 0;
     }
@@ -355,7 +365,8 @@
     }
 
     private boolean mayResend(double nowMs, Call call) {
-        return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
+        return extra >= 1
+                && call.attempts.size() < settings.limits().maxAttempts()
                 && call.usefulUntilMs - nowMs >= call.view.typicalMs
                 && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
@@ -363,14 +374,19 @@
     /** A keyed request that may have run goes only to the group that drops its repeats, within the window. */
     private boolean mayGoTo(double nowMs, Call call, Host host) {
         RequestClass spec = call.view.spec;
-        return spec.effect() != Effect.KEYED || call.attempts.stream().allMatch(sent -> !sent.mayHaveRun()
-                || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
+        if (spec.effect() != Effect.KEYED) {
+            return true;
+        }
+        return call.attempts.stream()
+                .allMatch(sent -> !sent.mayHaveRun()
+                        || nowMs - sent.sentMs < spec.windowMs() && sent.inGroup(spec.group(), host.listed));
     }
 
     private void giveUp(Call call) {
         // A refusal says that coming again is harmless.
         Effect effect = call.view.spec.effect();
-        if (effect == Effect.SAFE || effect == Effect.KEYED && call.view.spec.group() == Group.ALL
+        if (effect == Effect.SAFE
+                || effect == Effect.KEYED && call.view.spec.group() == Group.ALL
                 || call.provenNotRun()) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
         } else {
@@ -436,7 +452,8 @@
 
     private boolean hasRoom(double nowMs, Call call, Host host) {
         double warmth = warmth(nowMs, host);
-        return host.out < Math.max(1, host.window * warmth) && nowMs >= host.nextSendMs
+        return host.out < Math.max(1, host.window * warmth)
+                && nowMs >= host.nextSendMs
                 && (warmth >= 1 || call.attempts.isEmpty() && coldRoom(nowMs, host, warmth));
     }
 
@@ -449,7 +466,8 @@
         Contract contract = settings.contract();
         double rate = Math.min(COLD_RATE, contract.overloadFactor() / 2);
         double spanMs = Math.max(TICK_MS / 4, contract.overloadMs());
-        double weights = members.stream().mapToDouble(member -> member.listed.weight()).sum();
+        double weights =
+                members.stream().mapToDouble(member -> member.listed.weight()).sum();
         double part = weights > 0 ? host.listed.weight() / weights : 1.0 / members.size();
         double lapseMs = spanMs * (contract.overloadFactor() - rate) / rate;
         return host.coldRoom.has(nowMs, rate * sentPerMs * part * warmth, TICK_MS / 4, lapseMs);
@@ -536,8 +554,9 @@
     }
 
     private void shedWaiting(double nowMs) {
-        List<Call> late = waiting.stream().filter(call -> call.usefulUntilMs - nowMs
-                <= Math.max(controlMs, lastCallMs(call.view))).toList();
+        List<Call> late = waiting.stream()
+                .filter(call -> call.usefulUntilMs - nowMs <= Math.max(controlMs, lastCallMs(call.view)))
+                .toList();
         shed += late.size();
         late.forEach(waiting::remove);
         late.forEach(this::giveUp);
@@ -561,15 +580,20 @@
         if (clientRoom == 0 || left >= kept) {
             return false;
         }
-        Call least = waiting.stream().min(Comparator.comparingDouble(Call::worthPerMs)).orElse(call);
+        Call least = waiting.stream()
+                .min(Comparator.comparingDouble(Call::worthPerMs))
+                .orElse(call);
         if (least.worthPerMs() < call.worthPerMs()) {
             waiting.remove(least);
             giveUp(least);
             yielded++;
             return false;
         }
-        double best = classes.stream().filter(view -> view.offered > 0)
-                .mapToDouble(view -> worth(view) / view.typicalMs).max().orElse(0);
+        double best = classes.stream()
+                .filter(view -> view.offered > 0)
+                .mapToDouble(view -> worth(view) / view.typicalMs)
+                .max()
+                .orElse(0);
         boolean yields = left < kept * (1 - call.worthPerMs() / best);
         yielded += yields ? 1 : 0;
         return yields;
@@ -584,8 +608,10 @@
         double deadlineMs = view.spec.deadlineMs();
         boolean usual = view.patience.count(request.timeoutMs(), jitterMs(view.spec));
         double goneMs = Math.max(0, deadlineMs - request.timeoutMs());
-        boolean first = settings.repeatsMarked() ? !request.repeat()
-                : usual || !view.unserved.take(nowMs - goneMs);
+        if (settings.repeatsMarked()) {
+            return request.repeat() ? goneMs : 0;
+        }
+        boolean first = usual || !view.unserved.take(nowMs - goneMs);
         return first ? 0 : goneMs;
     }
 
@@ -613,8 +639,9 @@
         if (host.trials.failures >= STREAK) {
             setAside(nowMs, host, "it failed " + host.trials.failures + " times in a row");
         } else if (host.setAside == null && !ofClass.apart && ofClass.failures >= STREAK) {
-            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed "
-                    + ofClass.failures + " times in a row; trying it now and then");
+            String failures = ofClass.failures + " times in a row";
+            actions.log(host + " is set aside for " + view.spec.name() + " alone, which it failed " + failures
+                    + "; trying it now and then");
             ofClass.apart = true;
             ofClass.begin(nowMs, TICK_MS / 4, 4 * TICK_MS);
         }
