--- a/scale/src/main/java/gradehub/scale/ExperimentOptions.java
+++ b/scale/src/main/java/gradehub/scale/ExperimentOptions.java
@@ -16,7 +16,11 @@
     @Parameters(paramLabel = "FILE", description = "the experiment, in YAML or JSON")
     private Path file;
 
-    @Option(names = "--seeds", split = ",", paramLabel = "N", description = "seeds in place of the file's, one run each")
+    @Option(
+            names = "--seeds",
+            split = ",",
+            paramLabel = "N",
+            description = "seeds in place of the file's, one run each")
     private List<Long> seeds = new ArrayList<>();
 
     @Option(
--- a/scale/src/main/java/gradehub/scale/MemoryLimit.java
+++ b/scale/src/main/java/gradehub/scale/MemoryLimit.java
@@ -17,9 +17,9 @@
     private static final long PER_SECOND_OF_RUN = 200;
 
     static MemoryLimit ofThisMachine() {
-        OperatingSystemMXBean machine =
-                ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
-        return new MemoryLimit(Math.min(machine.getTotalMemorySize() / 2, Runtime.getRuntime().maxMemory()));
+        OperatingSystemMXBean machine = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+        return new MemoryLimit(
+                Math.min(machine.getTotalMemorySize() / 2, Runtime.getRuntime().maxMemory()));
     }
 
     /** An upper estimate of what an experiment needs. */
--- a/scale/src/main/java/gradehub/scale/experiment/Experiment.java
+++ b/scale/src/main/java/gradehub/scale/experiment/Experiment.java
@@ -30,16 +30,7 @@
     /** The same experiment with another seed. */
     public Experiment withSeed(long otherSeed) {
         return new Experiment(
-                name,
-                otherSeed,
-                warmupSeconds,
-                measuredSeconds,
-                fleet,
-                network,
-                upstream,
-                calls,
-                listService,
-                faults);
+                name, otherSeed, warmupSeconds, measuredSeconds, fleet, network, upstream, calls, listService, faults);
     }
 
     /** The same experiment with a fleet of another size; rate and counts of machines in faults go with it. */
--- a/scale/src/main/java/gradehub/scale/experiment/Fault.java
+++ b/scale/src/main/java/gradehub/scale/experiment/Fault.java
@@ -14,8 +14,7 @@
             implements Fault {}
 
     /** A part of a layer's upstreams serves slower by a factor. */
-    record UpstreamsSlow(double atSeconds, double forSeconds, int layer, double part, double factor)
-            implements Fault {}
+    record UpstreamsSlow(double atSeconds, double forSeconds, int layer, double part, double factor) implements Fault {}
 
     /** Machines fall silent, and come back with a cold process. */
     record MachinesLost(double atSeconds, double forSeconds, int count) implements Fault {}
--- a/scale/src/main/java/gradehub/scale/experiment/FaultReader.java
+++ b/scale/src/main/java/gradehub/scale/experiment/FaultReader.java
@@ -23,13 +23,15 @@
         double at = fields.number("atSeconds", 0, mostSeconds);
         double lasting = fields.number("forSeconds", 0, mostSeconds);
         return switch (kind) {
-            case UPSTREAMS_FAIL -> new Fault.UpstreamsFail(
-                    at, lasting, layer(fields, fleet), part(fields), fields.number("errorPart", 0, 1));
-            case UPSTREAMS_SLOW -> new Fault.UpstreamsSlow(
-                    at, lasting, layer(fields, fleet), part(fields), fields.number("factor", 1, 10_000));
+            case UPSTREAMS_FAIL ->
+                new Fault.UpstreamsFail(
+                        at, lasting, layer(fields, fleet), part(fields), fields.number("errorPart", 0, 1));
+            case UPSTREAMS_SLOW ->
+                new Fault.UpstreamsSlow(
+                        at, lasting, layer(fields, fleet), part(fields), fields.number("factor", 1, 10_000));
             case MACHINES_LOST -> new Fault.MachinesLost(at, lasting, machines(fields, fleet));
-            case RESTARTS -> new Fault.Restarts(
-                    at, lasting, machines(fields, fleet), fields.number("downSeconds", 0, mostSeconds));
+            case RESTARTS ->
+                new Fault.Restarts(at, lasting, machines(fields, fleet), fields.number("downSeconds", 0, mostSeconds));
             case ZONE_LOST -> new Fault.ZoneLost(at, lasting, named(fields, "zone", zoneNames(fleet)));
             case REGION_PARTED -> new Fault.RegionParted(at, lasting, named(fields, "region", regionNames(fleet)));
             case LIST_SERVICE_DOWN -> new Fault.ListServiceDown(at, lasting);
--- a/scale/src/main/java/gradehub/scale/model/EventQueue.java
+++ b/scale/src/main/java/gradehub/scale/model/EventQueue.java
@@ -16,6 +16,7 @@
     private final Slot[] slots = new Slot[SLOTS];
     /** The latest slot whose events are in the heap. */
     private long dueSlot;
+
     private long nextSequence;
     private long nowMicros;
     private long fired;
--- a/scale/src/main/java/gradehub/scale/model/FaultSchedule.java
+++ b/scale/src/main/java/gradehub/scale/model/FaultSchedule.java
@@ -76,7 +76,8 @@
 
     private List<Topology.Machine> inZone(String name) {
         return world.topology.machines.stream()
-                .filter(machine -> world.topology.zones.get(machine.zone()).name().equals(name))
+                .filter(machine ->
+                        world.topology.zones.get(machine.zone()).name().equals(name))
                 .toList();
     }
 
@@ -98,8 +99,9 @@
             ModelUpstream upstream = world.upstreams.get(machine.number());
             long leaves = from + spreadMicros * i / machines.size();
             long ends = leaves + DRAIN_MICROS;
-            world.queue.at(leaves, now ->
-                    world.listService.change(now, machine, ListEntry.Phase.LEAVING, upstream.startedMicros()));
+            world.queue.at(
+                    leaves,
+                    now -> world.listService.change(now, machine, ListEntry.Phase.LEAVING, upstream.startedMicros()));
             world.queue.at(ends, now -> {
                 upstream.kill(now);
                 world.sidecars.get(machine.number()).stop(now);
@@ -119,7 +121,9 @@
         List<ModelSidecar> sidecars = world.sidecars;
         for (int i = 0; i < sidecars.size(); i++) {
             ModelSidecar sidecar = sidecars.get(i);
-            world.queue.at(from + spreadMicros * i / sidecars.size(), now -> sidecar.listClient().moveTo(now));
+            world.queue.at(
+                    from + spreadMicros * i / sidecars.size(),
+                    now -> sidecar.listClient().moveTo(now));
         }
     }
 }
--- a/scale/src/main/java/gradehub/scale/model/ListJson.java
+++ b/scale/src/main/java/gradehub/scale/model/ListJson.java
@@ -40,8 +40,7 @@
         long upSince = startedMicros < 0 ? 0 : RUN_STARTS_MS + startedMicros / World.MICROS_PER_MILLI;
         String id = String.format("s-%08x", machine.number() * 0x9E3779B1);
         String address = "10." + machine.zone() + "." + machine.number() / 256 + "." + machine.number() % 256;
-        return json(new Member(
-                id, address + ":8000", zone, "m2", machine.service(), phase.word, 1.0, upSince));
+        return json(new Member(id, address + ":8000", zone, "m2", machine.service(), phase.word, 1.0, upSince));
     }
 
     /** Length of the message with these entries, a line in a chunk of its own. */
--- a/scale/src/main/java/gradehub/scale/model/ListService.java
+++ b/scale/src/main/java/gradehub/scale/model/ListService.java
@@ -24,6 +24,7 @@
     private final List<List<Topology.Machine>> scopes = new ArrayList<>();
     /** Calls that wait and watches that are open, in the order in which they came. */
     private final Set<Watch> callers = new LinkedHashSet<>();
+
     private int revision = 1;
     private boolean up = true;
     private int life;
@@ -45,7 +46,8 @@
 
     private List<Topology.Machine> machinesOf(List<Integer> services) {
         List<Topology.Machine> machines = new ArrayList<>();
-        services.forEach(service -> machines.addAll(world.topology.services.get(service).machines()));
+        services.forEach(
+                service -> machines.addAll(world.topology.services.get(service).machines()));
         return machines;
     }
 
@@ -148,7 +150,8 @@
             atThisLife(nowMicros + timeoutMicros, now -> fail(now, watch));
         } else {
             callers.add(watch);
-            long costMicros = model.callMicros() + model.entryMicros() * answerTo(watch).entries().size();
+            long costMicros = model.callMicros()
+                    + model.entryMicros() * answerTo(watch).entries().size();
             atThisLife(serve(nowMicros, costMicros), now -> answer(now, watch));
         }
     }
--- a/scale/src/main/java/gradehub/scale/model/Measurements.java
+++ b/scale/src/main/java/gradehub/scale/model/Measurements.java
@@ -28,6 +28,7 @@
     long lateAnswers;
     /** Requests that sidecars have answered without an attempt. */
     long unsent;
+
     long logLines;
     long listCalls;
     long listCallsFailed;
--- a/scale/src/main/java/gradehub/scale/model/ModelSidecar.java
+++ b/scale/src/main/java/gradehub/scale/model/ModelSidecar.java
@@ -1,6 +1,5 @@
 package gradehub.scale.model;
 
-import gradehub.Balancer;
 import gradehub.Balancer.Contract;
 import gradehub.Balancer.Effect;
 import gradehub.Balancer.Goal;
--- a/scale/src/main/java/gradehub/scale/model/ModelUpstream.java
+++ b/scale/src/main/java/gradehub/scale/model/ModelUpstream.java
@@ -17,6 +17,7 @@
     private final double meanWorkMicros;
     /** Parameters of the log-normal distribution of work with that mean. */
     private final double logMean;
+
     private final double logDeviation;
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
     private final List<Attempt> held = new ArrayList<>();
@@ -38,8 +39,9 @@
         Topology.Service service = world.topology.services.get(machine.service());
         double perMachine = service.planned() / service.machines().size();
         double utilisation = world.experiment.fleet().utilisation();
-        this.meanWorkMicros =
-                perMachine > 0 ? utilisation * model.cores() * World.MICROS_PER_SECOND / perMachine : World.MICROS_PER_MILLI;
+        this.meanWorkMicros = perMachine > 0
+                ? utilisation * model.cores() * World.MICROS_PER_SECOND / perMachine
+                : World.MICROS_PER_MILLI;
         double variance = Math.log1p(model.workVariation() * model.workVariation());
         this.logMean = Math.log(meanWorkMicros) - variance / 2;
         this.logDeviation = Math.sqrt(variance);
--- a/scale/src/main/java/gradehub/scale/model/Network.java
+++ b/scale/src/main/java/gradehub/scale/model/Network.java
@@ -49,8 +49,7 @@
 
     /** The time that a message to or from the list service takes. */
     long listServiceDelayMicros(Topology.Machine machine) {
-        return delayMicros(
-                machine.region() == LIST_SERVICE_REGION ? Distance.OTHER_ZONE : Distance.OTHER_REGION);
+        return delayMicros(machine.region() == LIST_SERVICE_REGION ? Distance.OTHER_ZONE : Distance.OTHER_REGION);
     }
 
     boolean reaches(Topology.Machine one, Topology.Machine other) {
--- a/scale/src/main/java/gradehub/scale/model/RootClients.java
+++ b/scale/src/main/java/gradehub/scale/model/RootClients.java
@@ -42,8 +42,13 @@
         if (sidecar.isRunning()) {
             world.measurements.rootOffered(nowMicros);
             int tries = world.experiment.calls().rootTries();
-            Operation.begin(world, sidecar, nowMicros, nowMicros + deadlineMicros, tries, (now, served) ->
-                    world.measurements.rootEnded(now, nowMicros, served));
+            Operation.begin(
+                    world,
+                    sidecar,
+                    nowMicros,
+                    nowMicros + deadlineMicros,
+                    tries,
+                    (now, served) -> world.measurements.rootEnded(now, nowMicros, served));
         }
         scheduleNext(nowMicros);
     }
--- a/scale/src/main/java/gradehub/scale/result/ResultFiles.java
+++ b/scale/src/main/java/gradehub/scale/result/ResultFiles.java
@@ -30,8 +30,8 @@
     /** Begins the files of a folder anew. */
     public static ResultFiles create(Path folder, boolean summaryOnly) throws IOException {
         Files.createDirectories(folder);
-        CSVPrinter summary = open(
-                folder.resolve(SUMMARY), "experiment", "size", "seed", "complete", "figure", "value", "unit");
+        CSVPrinter summary =
+                open(folder.resolve(SUMMARY), "experiment", "size", "seed", "complete", "figure", "value", "unit");
         return new ResultFiles(folder, summaryOnly, summary);
     }
 
@@ -96,8 +96,7 @@
 
     private void writeServices(RunResult result) throws IOException {
         Path file = folder.resolve(name(result, "services"));
-        try (CSVPrinter rows =
-                open(file, "service", "layer", "upstreams", "callers", "per-upstream", "spread")) {
+        try (CSVPrinter rows = open(file, "service", "layer", "upstreams", "callers", "per-upstream", "spread")) {
             for (RunResult.ServiceLoad row : result.services()) {
                 rows.printRecord(
                         row.service(),
--- a/scale/src/main/java/gradehub/scale/result/RunResult.java
+++ b/scale/src/main/java/gradehub/scale/result/RunResult.java
@@ -57,8 +57,7 @@
      * @param perUpstream attempts a second at an upstream, in the mean
      * @param spread attempts at its busiest upstream over that mean
      */
-    public record ServiceLoad(
-            int service, int layer, int upstreams, int callers, double perUpstream, double spread) {}
+    public record ServiceLoad(int service, int layer, int upstreams, int callers, double perUpstream, double spread) {}
 
     /** A number in at most six significant digits. */
     public static String format(double value) {
--- a/scale/src/main/java/gradehub/scale/result/Slopes.java
+++ b/scale/src/main/java/gradehub/scale/result/Slopes.java
@@ -44,8 +44,8 @@
                     + RunResult.format(slope) + ", intercept " + RunResult.format(intercept) + ", value/size "
                     + RunResult.format(leastRatio) + " to " + RunResult.format(mostRatio) + " in " + runs
                     + " runs; means");
-            means.forEach((size, mean) ->
-                    text.append(' ').append(size).append(": ").append(RunResult.format(mean)));
+            means.forEach(
+                    (size, mean) -> text.append(' ').append(size).append(": ").append(RunResult.format(mean)));
             return text.toString();
         }
     }
@@ -60,8 +60,7 @@
                 if (!row.get("figure").equals("digest")) {
                     List<String> key = List.of(row.get("experiment"), row.get("figure"), row.get("unit"));
                     points.computeIfAbsent(key, unused -> new ArrayList<>())
-                            .add(new Point(
-                                    Integer.parseInt(row.get("size")), Double.parseDouble(row.get("value"))));
+                            .add(new Point(Integer.parseInt(row.get("size")), Double.parseDouble(row.get("value"))));
                 }
             }
         }
@@ -85,8 +84,14 @@
         }
         double slope = squares == 0 ? 0 : products / squares;
         sums.replaceAll((size, sum) -> sum / counts.get(size));
-        double least = points.stream().mapToDouble(point -> point.value() / point.size()).min().orElseThrow();
-        double most = points.stream().mapToDouble(point -> point.value() / point.size()).max().orElseThrow();
+        double least = points.stream()
+                .mapToDouble(point -> point.value() / point.size())
+                .min()
+                .orElseThrow();
+        double most = points.stream()
+                .mapToDouble(point -> point.value() / point.size())
+                .max()
+                .orElseThrow();
         return new Slope(
                 key.get(0),
                 key.get(1),
--- a/scale/src/test/java/gradehub/scale/MainTest.java
+++ b/scale/src/test/java/gradehub/scale/MainTest.java
@@ -87,11 +87,14 @@
         Path out = folder.resolve("out");
         String[] run = {"model", file.toString(), "--out", out.toString(), "--sizes", "30,60", "--seeds", "1,2"};
         assertEquals(0, execute(run));
-        assertEquals(4, Files.readString(out.resolve("summary.csv"))
-                .lines()
-                .filter(line -> line.contains(",digest,"))
-                .count());
-        assertEquals(5, Files.readAllLines(out.resolve("small-30-2-seconds.csv")).size());
+        assertEquals(
+                4,
+                Files.readString(out.resolve("summary.csv"))
+                        .lines()
+                        .filter(line -> line.contains(",digest,"))
+                        .count());
+        assertEquals(
+                5, Files.readAllLines(out.resolve("small-30-2-seconds.csv")).size());
         assertEquals(0, execute("slopes", out.resolve("summary.csv").toString()));
         assertTrue(output.toString(StandardCharsets.UTF_8).contains("small calls [1/s]: slope"));
     }
--- a/scale/src/test/java/gradehub/scale/experiment/ExperimentReaderTest.java
+++ b/scale/src/test/java/gradehub/scale/experiment/ExperimentReaderTest.java
@@ -83,7 +83,8 @@
     @Test
     void readsEachShippedExperiment() throws IOException, ExperimentFileException {
         try (Stream<Path> files = Files.list(Path.of("experiments"))) {
-            List<Path> experiments = files.filter(file -> file.toString().endsWith(".yaml")).toList();
+            List<Path> experiments =
+                    files.filter(file -> file.toString().endsWith(".yaml")).toList();
             assertTrue(!experiments.isEmpty(), "there are experiments");
             for (Path file : experiments) {
                 String name = file.getFileName().toString().replace(".yaml", "");
--- a/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
+++ b/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
@@ -17,6 +17,7 @@
     private static final int HOPS = 7;
     /** Further attempts that a module may make for each request, and how many it may have saved up at the start. */
     private static final double EXTRA = 0.25;
+
     private static final double EXTRA_SAVED = 20;
 
     private static World play(Experiment experiment) {
@@ -31,14 +32,18 @@
         double bound = counted.rootOffered;
         for (int layer = 1; layer <= HOPS; layer++) {
             int callers = world.topology.layer(layer - 1).stream()
-                    .mapToInt(service -> service.machines().size() * service.called().size())
+                    .mapToInt(service ->
+                            service.machines().size() * service.called().size())
                     .sum();
             double mostOfHop = (1 + EXTRA) * counted.callsByLayer[layer] + EXTRA_SAVED * callers;
-            assertTrue(counted.sentByLayer[layer] <= mostOfHop, "layer " + layer + ": " + counted.sentByLayer[layer]
-                    + " attempts for " + counted.callsByLayer[layer] + " calls");
+            assertTrue(
+                    counted.sentByLayer[layer] <= mostOfHop,
+                    "layer " + layer + ": " + counted.sentByLayer[layer] + " attempts for "
+                            + counted.callsByLayer[layer] + " calls");
             bound = (1 + EXTRA) * bound + EXTRA_SAVED * callers;
         }
-        assertTrue(counted.arrivedByLayer[HOPS] <= bound, counted.arrivedByLayer[HOPS] + " at the leaf, at most " + bound);
+        assertTrue(
+                counted.arrivedByLayer[HOPS] <= bound, counted.arrivedByLayer[HOPS] + " at the leaf, at most " + bound);
     }
 
     @Test
@@ -74,8 +79,7 @@
     @Test
     void aTenthThatFailsCostsHardlyARootCall() {
         Experiment small = TestExperiments.small();
-        RunResult result =
-                result(TestExperiments.with(small, 3, 10, new Fault.UpstreamsFail(1, 12, 4, 0.1, 1)));
+        RunResult result = result(TestExperiments.with(small, 3, 10, new Fault.UpstreamsFail(1, 12, 4, 0.1, 1)));
         assertTrue(result.figure("root-served-part") > 0.99, "served " + result.figure("root-served-part"));
     }
 
--- a/scale/src/test/java/gradehub/scale/model/ColdReturnTest.java
+++ b/scale/src/test/java/gradehub/scale/model/ColdReturnTest.java
@@ -22,8 +22,7 @@
     @ValueSource(longs = {1, 2, 3})
     void aZoneThatReturnsToAFleetOf120IsNotPushedOver(long seed) {
         Experiment fleet = TestExperiments.small().atSize(120).withSeed(seed);
-        RunResult result = new Simulation(
-                        TestExperiments.with(fleet, 3, 40, new Fault.ZoneLost(3, 10, "north-2")))
+        RunResult result = new Simulation(TestExperiments.with(fleet, 3, 40, new Fault.ZoneLost(3, 10, "north-2")))
                 .run((seconds, calls) -> true);
         assertEquals(0, result.figure("cold-falls"));
         assertTrue(result.figure("cold-load-most") > 0, "cold upstreams are sent something");
--- a/scale/src/test/java/gradehub/scale/model/EventQueueTest.java
+++ b/scale/src/test/java/gradehub/scale/model/EventQueueTest.java
@@ -42,7 +42,8 @@
         List<Fired> inOrder = new ArrayList<>(fired);
         inOrder.sort(Comparator.comparingLong(Fired::atMicros));
         assertEquals(inOrder, fired, "in order of time");
-        List<Fired> first = fired.stream().filter(event -> event.number < times.size()).toList();
+        List<Fired> first =
+                fired.stream().filter(event -> event.number < times.size()).toList();
         List<Fired> expectedFirst = expected.stream()
                 .filter(event -> event.number < times.size())
                 .sorted(Comparator.comparingLong(Fired::atMicros)) // which keeps the order of scheduling
--- a/scale/src/test/java/gradehub/scale/model/ListServiceTest.java
+++ b/scale/src/test/java/gradehub/scale/model/ListServiceTest.java
@@ -58,7 +58,8 @@
         for (ModelSidecar sidecar : world.sidecars) {
             // A watch lasts to the end of the run, or until 15 s after its machine has fallen silent.
             lines += ListJson.LINE_OF_LIFE_BYTES * 5;
-            assertTrue(sidecar.isRunning() || !world.upstreams.get(sidecar.machine().number()).isUp());
+            assertTrue(sidecar.isRunning()
+                    || !world.upstreams.get(sidecar.machine().number()).isUp());
         }
         return (wholeDay - lines) / (double) size;
     }
--- a/scale/src/test/java/gradehub/scale/model/SimulationTest.java
+++ b/scale/src/test/java/gradehub/scale/model/SimulationTest.java
@@ -85,7 +85,10 @@
         Arbitrary<Double> starts = Arbitraries.doubles().between(0, 6);
         Arbitrary<Double> lengths = Arbitraries.doubles().between(0, 4);
         Arbitrary<Integer> kinds = Arbitraries.integers().between(0, ALL_FAULTS.length - 1);
-        return Combinators.combine(starts, lengths, kinds).as(SimulationTest::fault).list().ofMaxSize(5);
+        return Combinators.combine(starts, lengths, kinds)
+                .as(SimulationTest::fault)
+                .list()
+                .ofMaxSize(5);
     }
 
     private static Fault fault(double at, double lasting, int kind) {
--- a/scale/src/test/java/gradehub/scale/result/SlopesTest.java
+++ b/scale/src/test/java/gradehub/scale/result/SlopesTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
