--- a/scale/src/main/java/gradehub/scale/CheckCommand.java
+++ b/scale/src/main/java/gradehub/scale/CheckCommand.java
@@ -19,7 +19,7 @@
 
     @Override
     public Integer call() throws Exception {
-        for (Experiment experiment : options.experiments()) {
+        for (Experiment experiment : options.experiments(1)) {
             spec.commandLine()
                     .getOut()
                     .printf(
--- a/scale/src/main/java/gradehub/scale/ExperimentOptions.java
+++ b/scale/src/main/java/gradehub/scale/ExperimentOptions.java
@@ -30,8 +30,8 @@
             description = "upstreams in place of the file's, one run each; services and rate go with them")
     private List<Integer> sizes = new ArrayList<>();
 
-    /** Reads the file and lists the runs to make; each has passed the check of its memory. */
-    List<Experiment> experiments() throws IOException, BadExperimentException {
+    /** Reads the file and lists the runs to make; so many at once have passed the check of their memory. */
+    List<Experiment> experiments(int parallel) throws IOException, BadExperimentException {
         Experiment read;
         try {
             read = ExperimentReader.read(file);
@@ -46,7 +46,7 @@
         }
         MemoryLimit limit = MemoryLimit.ofThisMachine();
         for (Experiment experiment : experiments) {
-            limit.check(file, experiment);
+            limit.check(file, experiment, parallel);
         }
         return experiments;
     }
--- a/scale/src/main/java/gradehub/scale/MemoryLimit.java
+++ b/scale/src/main/java/gradehub/scale/MemoryLimit.java
@@ -39,8 +39,9 @@
                 + Math.round(experiment.totalSeconds() * PER_SECOND_OF_RUN);
     }
 
-    void check(Path file, Experiment experiment) throws BadExperimentException {
-        long needed = estimate(experiment);
+    /** Checks one of so many like runs that are played at once. */
+    void check(Path file, Experiment experiment, int parallel) throws BadExperimentException {
+        long needed = estimate(experiment) * parallel;
         if (needed > bytes) {
             throw new BadExperimentException(
                     file + ": " + experiment.fleet().upstreams() + " upstreams with "
--- a/scale/src/main/java/gradehub/scale/ModelCommand.java
+++ b/scale/src/main/java/gradehub/scale/ModelCommand.java
@@ -4,15 +4,22 @@
 import gradehub.scale.model.Simulation;
 import gradehub.scale.result.ResultFiles;
 import gradehub.scale.result.RunResult;
+import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /** Plays an experiment in the model; an interrupt ends the run and keeps what was measured. */
 @Command(
@@ -21,33 +28,34 @@
         description = "Plays an experiment with real decision modules on a simulated clock.")
 final class ModelCommand implements Callable<Integer> {
 
-    private static final Logger LOG = LoggerFactory.getLogger(ModelCommand.class);
-    private static final long PROGRESS_NANOS = 5_000_000_000L;
-
     @Mixin
     private ExperimentOptions options;
 
+    @Spec
+    private CommandSpec spec;
+
     @Option(names = "--out", paramLabel = "DIR", description = "folder for the results; default: ${DEFAULT-VALUE}")
     private Path out = Path.of("target", "results");
 
     @Option(names = "--summary-only", description = "write no rows of seconds and services")
     private boolean summaryOnly;
 
+    @Option(names = "--parallel", paramLabel = "N", description = "runs to play at once; default: ${DEFAULT-VALUE}")
+    private int parallel = 1;
+
     private volatile boolean interrupted;
-    private long toldNanos;
 
     @Override
     public Integer call() throws Exception {
-        List<Experiment> experiments = options.experiments();
+        if (parallel < 1) {
+            throw new ParameterException(spec.commandLine(), "--parallel: must be 1 at least");
+        }
+        List<Experiment> experiments = options.experiments(parallel);
         CountDownLatch written = new CountDownLatch(1);
-        Thread hook = new Thread(() -> endRun(written), "interrupt");
+        Thread hook = new Thread(() -> endRuns(written), "interrupt");
         Runtime.getRuntime().addShutdownHook(hook);
-        try (ResultFiles files = ResultFiles.create(out, summaryOnly)) {
-            for (Experiment experiment : experiments) {
-                if (!interrupted) {
-                    files.add(play(experiment));
-                }
-            }
+        try {
+            playAll(experiments);
         } finally {
             written.countDown();
         }
@@ -58,8 +66,8 @@
         return 0;
     }
 
-    /** Runs while the process is about to end: the run stops within a simulated second and its results are written. */
-    private void endRun(CountDownLatch written) {
+    /** Runs while the process is about to end: all runs stop within a simulated second, and results are written. */
+    private void endRuns(CountDownLatch written) {
         interrupted = true;
         try {
             written.await();
@@ -68,38 +76,33 @@
         }
     }
 
-    private RunResult play(Experiment experiment) {
-        LOG.atInfo()
-                .addKeyValue("experiment", experiment.name())
-                .addKeyValue("size", experiment.fleet().upstreams())
-                .addKeyValue("seed", experiment.seed())
-                .log("run begins");
-        long startedNanos = System.nanoTime();
-        toldNanos = startedNanos;
-        RunResult result =
-                new Simulation(experiment).run((seconds, calls) -> goOn(experiment, startedNanos, seconds, calls));
-        LOG.atInfo()
-                .addKeyValue("experiment", experiment.name())
-                .addKeyValue("size", result.size())
-                .addKeyValue("seed", result.seed())
-                .addKeyValue("complete", result.complete())
-                .addKeyValue("realSeconds", (System.nanoTime() - startedNanos) / 1e9)
-                .addKeyValue("digest", result.digest())
-                .log("run ends");
-        return result;
+    /** The runs share nothing; results are written in the order of the experiments, whichever ends first. */
+    private void playAll(List<Experiment> experiments) throws IOException, InterruptedException, ExecutionException {
+        ExecutorService threads = Executors.newFixedThreadPool(parallel);
+        try (ResultFiles files = ResultFiles.create(out, summaryOnly)) {
+            List<Future<RunResult>> runs = new ArrayList<>();
+            for (Experiment experiment : experiments) {
+                runs.add(threads.submit(() -> play(experiment)));
+            }
+            for (Future<RunResult> run : runs) {
+                RunResult result = run.get();
+                if (result != null) {
+                    files.add(result);
+                }
+            }
+        } finally {
+            threads.shutdownNow();
+        }
     }
 
-    private boolean goOn(Experiment experiment, long startedNanos, double seconds, long calls) {
-        long nowNanos = System.nanoTime();
-        if (nowNanos - toldNanos >= PROGRESS_NANOS) {
-            toldNanos = nowNanos;
-            LOG.atInfo()
-                    .addKeyValue("simulatedSeconds", seconds)
-                    .addKeyValue("ofSeconds", experiment.totalSeconds())
-                    .addKeyValue("calls", calls)
-                    .addKeyValue("callsPerRealSecond", Math.round(calls * 1e9 / (nowNanos - startedNanos)))
-                    .log("progress");
+    /** Plays a run; null where it was not begun before the interrupt. */
+    private RunResult play(Experiment experiment) {
+        if (interrupted) {
+            return null;
         }
-        return !interrupted;
+        ProgressLog progress = new ProgressLog(experiment, () -> interrupted);
+        RunResult result = new Simulation(experiment).run(progress);
+        progress.ended(result);
+        return result;
     }
 }
--- a/scale/src/test/java/gradehub/scale/MainTest.java
+++ b/scale/src/test/java/gradehub/scale/MainTest.java
@@ -81,6 +81,18 @@
         assertTrue(errors.toString(StandardCharsets.UTF_8).contains("needs 24"));
     }
 
+    @Test
+    void runsAtOnceGiveTheResultsOfRunsInTurn() throws IOException {
+        Path file = file(TestExperiments.smallText().replace("measuredSeconds: 5", "measuredSeconds: 1"));
+        String inTurn = folder.resolve("in-turn").toString();
+        String atOnce = folder.resolve("at-once").toString();
+        assertEquals(0, execute("model", file.toString(), "--seeds", "1,2,3", "--out", inTurn));
+        assertEquals(0, execute("model", file.toString(), "--seeds", "1,2,3", "--out", atOnce, "--parallel", "3"));
+        assertEquals(
+                Files.readString(Path.of(inTurn, "summary.csv")), Files.readString(Path.of(atOnce, "summary.csv")));
+        assertEquals(2, execute("model", file.toString(), "--out", atOnce, "--parallel", "0"));
+    }
+
     @Test
     void theModelWritesItsResultsAndSlopesReadsThem() throws IOException {
         Path file = file(TestExperiments.smallText().replace("measuredSeconds: 5", "measuredSeconds: 1"));
