Test cold returns where they are tight

With the guard for cold upstreams taken out of the module in a trial, the test of a returning zone still passed: at a budget of four times the capacity a fleet at half its load comes nowhere near it. The test now also plays a load of 0.7 and budgets of 2.5 and 1.5 times the capacity; in the same trial one of these pushes an upstream over, with the guard none does.

--- a/scale/src/main/java/gradehub/scale/experiment/FieldReader.java
+++ b/scale/src/main/java/gradehub/scale/experiment/FieldReader.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -79,7 +80,7 @@
     <E extends Enum<E>> E choice(String key, Class<E> type) throws ExperimentFileException {
         List<String> names = new ArrayList<>();
         for (E constant : type.getEnumConstants()) {
-            String name = constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+            String name = constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
             if (name.equals(scalar(key).value())) {
                 return constant;
             }
--- a/scale/src/test/java/gradehub/scale/TestExperiments.java
+++ b/scale/src/test/java/gradehub/scale/TestExperiments.java
@@ -7,6 +7,7 @@
 import gradehub.scale.experiment.Fault;
 import gradehub.scale.experiment.Fleet;
 import gradehub.scale.experiment.ListServiceModel;
+import gradehub.scale.experiment.UpstreamModel;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -114,4 +115,28 @@
                 base.listService(),
                 base.faults());
     }
+
+    /** The same with other upstreams, busy for this part of their cores. */
+    public static Experiment withUpstreams(Experiment base, UpstreamModel upstream, double utilisation) {
+        Fleet fleet = base.fleet();
+        return new Experiment(
+                base.name(),
+                base.seed(),
+                base.warmupSeconds(),
+                base.measuredSeconds(),
+                new Fleet(
+                        fleet.upstreams(),
+                        fleet.services(),
+                        fleet.smallestService(),
+                        fleet.largestService(),
+                        fleet.hops(),
+                        fleet.calledServices(),
+                        utilisation,
+                        fleet.regions()),
+                base.network(),
+                upstream,
+                base.calls(),
+                base.listService(),
+                base.faults());
+    }
 }
--- a/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
+++ b/scale/src/test/java/gradehub/scale/model/CallTreeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradehub.Balancer.Outcome;
 import gradehub.scale.TestExperiments;
 import gradehub.scale.experiment.Experiment;
 import gradehub.scale.experiment.Fault;
@@ -63,7 +64,7 @@
     void failuresOfALayerMultiplyAttemptsByNoMoreThanTheBudget(int layer, double part) {
         Experiment small = TestExperiments.small();
         World world = play(TestExperiments.with(small, 2, 8, new Fault.UpstreamsFail(1, 9, layer, part, 1)));
-        assertTrue(world.measurements.outcomes[gradehub.Balancer.Outcome.ERROR.ordinal()] > 0, "some fail");
+        assertTrue(world.measurements.outcomes[Outcome.ERROR.ordinal()] > 0, "some fail");
         assertBounded(world);
     }
 
--- a/scale/src/test/java/gradehub/scale/model/ColdReturnTest.java
+++ b/scale/src/test/java/gradehub/scale/model/ColdReturnTest.java
@@ -11,21 +11,24 @@
 import gradehub.scale.result.RunResult;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What all sidecars together send to upstreams that have just started. */
 class ColdReturnTest {
 
     private static final UpstreamModel MODEL = new UpstreamModel(2, 64, 1, 0.1, 20_000, 4, 2000);
 
+    /** A zone returns whole; in a trial without the module's guard one of these pushed an upstream over. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
-    void aZoneThatReturnsToAFleetOf120IsNotPushedOver(long seed) {
-        Experiment fleet = TestExperiments.small().atSize(120).withSeed(seed);
+    @CsvSource({"1, 4, 0.5", "1, 2.5, 0.7", "1, 1.5, 0.7", "2, 1.5, 0.7", "3, 1.5, 0.7"})
+    void aZoneThatReturnsToAFleetOf120IsNotPushedOver(long seed, double overloadFactor, double utilisation) {
+        Experiment small = TestExperiments.small().atSize(120).withSeed(seed);
+        UpstreamModel upstream = new UpstreamModel(2, 64, 1, 0.12, 24_000, overloadFactor, 2000);
+        Experiment fleet = TestExperiments.withUpstreams(small, upstream, utilisation);
         RunResult result = new Simulation(TestExperiments.with(fleet, 3, 40, new Fault.ZoneLost(3, 10, "north-2")))
                 .run((seconds, calls) -> true);
         assertEquals(0, result.figure("cold-falls"));
-        assertTrue(result.figure("cold-load-most") > 0, "cold upstreams are sent something");
+        assertTrue(result.figure("cold-attempts") > 1000, "cold upstreams are sent something");
         assertTrue(result.figure("cold-load-most") <= 1, "at most " + result.figure("cold-load-most"));
     }
 
@@ -49,22 +52,12 @@
         assertTrue(budget.count(3_000_001, 1) < 0.1, "the span has passed");
     }
 
-    /** The rule bites: a fleet that knows nothing of cold upstreams pushes some of them over. */
+    /** The rule bites: the first request of an upstream that can take hardly any pushes it over. */
     @Test
     void upstreamsThatCanTakeAlmostNothingFallAndStayDown() {
-        Experiment small = TestExperiments.small().atSize(120);
         UpstreamModel frail = new UpstreamModel(2, 64, 1, 0.01, 20_000, 0.1, 2000);
-        Experiment experiment = new Experiment(
-                small.name(),
-                small.seed(),
-                3,
-                30,
-                small.fleet(),
-                small.network(),
-                frail,
-                small.calls(),
-                small.listService(),
-                java.util.List.of(new Fault.ZoneLost(3, 5, "north-2")));
+        Experiment small = TestExperiments.withUpstreams(TestExperiments.small().atSize(120), frail, 0.5);
+        Experiment experiment = TestExperiments.with(small, 3, 30, new Fault.ZoneLost(3, 5, "north-2"));
         World world = new World(experiment);
         RunResult result = new Simulation(world).run((seconds, calls) -> true);
         assertTrue(result.figure("cold-falls") > 0);
--- a/scale/src/test/java/gradehub/scale/model/SimulationTest.java
+++ b/scale/src/test/java/gradehub/scale/model/SimulationTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
 
 /** Whole runs: they repeat, they can be ended, and whatever happens each call is answered in time. */
@@ -105,7 +106,7 @@
     }
 
     /** The sidecars' rules under faults at random times: no answer after the deadline, no call without its end. */
-    @Property(tries = 25, seed = "20", shrinking = net.jqwik.api.ShrinkingMode.OFF)
+    @Property(tries = 25, seed = "20", shrinking = ShrinkingMode.OFF)
     void whateverHappensEachCallIsAnsweredInTime(@ForAll("faults") List<Fault> faults, @ForAll long seed) {
         Experiment small = TestExperiments.withRate(TestExperiments.small(), 150);
         Experiment experiment =
