--- a/scale/src/main/java/gradehub/scale/SlopesCommand.java
+++ b/scale/src/main/java/gradehub/scale/SlopesCommand.java
@@ -2,6 +2,8 @@
 
 import gradehub.scale.result.Slopes;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -12,18 +14,22 @@
 @Command(
         name = "slopes",
         mixinStandardHelpOptions = true,
-        description = "Prints each figure of a summary as slope times size, with the range of the slope.")
+        description = "Prints as CSV how each figure grows with the size of the fleet.")
 final class SlopesCommand implements Callable<Integer> {
 
-    @Parameters(paramLabel = "SUMMARY", description = "a summary.csv that the model has written")
-    private Path summary;
+    @Parameters(paramLabel = "SUMMARY", arity = "1..*", description = "files summary.csv that the model has written")
+    private List<Path> summaries;
 
     @Spec
     private CommandSpec spec;
 
     @Override
     public Integer call() throws Exception {
-        Slopes.read(summary).forEach(line -> spec.commandLine().getOut().println(line));
+        List<Slopes.Slope> slopes = new ArrayList<>();
+        for (Path summary : summaries) {
+            slopes.addAll(Slopes.read(summary));
+        }
+        Slopes.write(slopes, spec.commandLine().getOut());
         return 0;
     }
 }
--- a/scale/src/main/java/gradehub/scale/result/Slopes.java
+++ b/scale/src/main/java/gradehub/scale/result/Slopes.java
@@ -4,19 +4,37 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVParser;
+import org.apache.commons.csv.CSVPrinter;
 import org.apache.commons.csv.CSVRecord;
 
 /** How the figures of a summary grow with the size of the fleet: a straight line through all runs by least squares. */
 public final class Slopes {
 
-    private static final CSVFormat FORMAT =
+    private static final CSVFormat INPUT =
             CSVFormat.DEFAULT.builder().setHeader().setSkipHeaderRecord(true).build();
+    private static final CSVFormat OUTPUT = CSVFormat.DEFAULT
+            .builder()
+            .setRecordSeparator('\n')
+            .setHeader(
+                    "experiment",
+                    "figure",
+                    "unit",
+                    "slope",
+                    "intercept",
+                    "least-ratio",
+                    "most-ratio",
+                    "runs",
+                    "means",
+                    "least-at-largest",
+                    "most-at-largest")
+            .build();
 
     private Slopes() {}
 
@@ -25,7 +43,7 @@
      *
      * @param leastRatio the least value over size of any run
      * @param mostRatio the greatest value over size of any run
-     * @param means the mean value of the runs of each size
+     * @param bySize the values of the runs of each size, in order of size
      */
     public record Slope(
             String experiment,
@@ -35,18 +53,24 @@
             double slope,
             double leastRatio,
             double mostRatio,
-            int runs,
-            Map<Integer, Double> means) {
+            TreeMap<Integer, DoubleSummaryStatistics> bySize) {
 
-        @Override
-        public String toString() {
-            StringBuilder text = new StringBuilder(experiment + " " + figure + " [" + unit + "]: slope "
-                    + RunResult.format(slope) + ", intercept " + RunResult.format(intercept) + ", value/size "
-                    + RunResult.format(leastRatio) + " to " + RunResult.format(mostRatio) + " in " + runs
-                    + " runs; means");
-            means.forEach(
-                    (size, mean) -> text.append(' ').append(size).append(": ").append(RunResult.format(mean)));
-            return text.toString();
+        /** How many runs it is fitted to. */
+        public long runs() {
+            return bySize.values().stream()
+                    .mapToLong(DoubleSummaryStatistics::getCount)
+                    .sum();
+        }
+
+        /** The mean of the runs of each size. */
+        public Map<Integer, Double> means() {
+            Map<Integer, Double> means = new TreeMap<>();
+            bySize.forEach((size, values) -> means.put(size, values.getAverage()));
+            return means;
+        }
+
+        private boolean isZero() {
+            return bySize.values().stream().allMatch(values -> values.getMin() == 0 && values.getMax() == 0);
         }
     }
 
@@ -55,7 +79,7 @@
     /** Reads a summary and fits each of its figures. */
     public static List<Slope> read(Path summary) throws IOException {
         Map<List<String>, List<Point>> points = new LinkedHashMap<>();
-        try (CSVParser rows = CSVParser.parse(summary, StandardCharsets.UTF_8, FORMAT)) {
+        try (CSVParser rows = CSVParser.parse(summary, StandardCharsets.UTF_8, INPUT)) {
             for (CSVRecord row : rows) {
                 if (!row.get("figure").equals("digest")) {
                     List<String> key = List.of(row.get("experiment"), row.get("figure"), row.get("unit"));
@@ -69,38 +93,58 @@
         return slopes;
     }
 
+    /** Writes slopes as CSV; figures that are 0 in all runs are left out. */
+    public static void write(List<Slope> slopes, Appendable output) throws IOException {
+        CSVPrinter rows = new CSVPrinter(output, OUTPUT);
+        for (Slope slope : slopes) {
+            if (!slope.isZero()) {
+                DoubleSummaryStatistics largest = slope.bySize().lastEntry().getValue();
+                rows.printRecord(
+                        slope.experiment(),
+                        slope.figure(),
+                        slope.unit(),
+                        RunResult.format(slope.slope()),
+                        RunResult.format(slope.intercept()),
+                        RunResult.format(slope.leastRatio()),
+                        RunResult.format(slope.mostRatio()),
+                        slope.runs(),
+                        words(slope.means()),
+                        RunResult.format(largest.getMin()),
+                        RunResult.format(largest.getMax()));
+            }
+        }
+        rows.flush();
+    }
+
+    private static String words(Map<Integer, Double> means) {
+        List<String> words = new ArrayList<>();
+        means.forEach((size, mean) -> words.add(size + ":" + RunResult.format(mean)));
+        return String.join(" ", words);
+    }
+
     private static Slope fit(List<String> key, List<Point> points) {
         double meanSize = points.stream().mapToDouble(Point::size).average().orElseThrow();
         double meanValue = points.stream().mapToDouble(Point::value).average().orElseThrow();
         double products = 0;
         double squares = 0;
-        Map<Integer, Double> sums = new TreeMap<>();
-        Map<Integer, Integer> counts = new TreeMap<>();
+        DoubleSummaryStatistics ratios = new DoubleSummaryStatistics();
+        TreeMap<Integer, DoubleSummaryStatistics> bySize = new TreeMap<>();
         for (Point point : points) {
             products += (point.size() - meanSize) * (point.value() - meanValue);
             squares += (point.size() - meanSize) * (point.size() - meanSize);
-            sums.merge(point.size(), point.value(), Double::sum);
-            counts.merge(point.size(), 1, Integer::sum);
+            ratios.accept(point.value() / point.size());
+            bySize.computeIfAbsent(point.size(), unused -> new DoubleSummaryStatistics())
+                    .accept(point.value());
         }
         double slope = squares == 0 ? 0 : products / squares;
-        sums.replaceAll((size, sum) -> sum / counts.get(size));
-        double least = points.stream()
-                .mapToDouble(point -> point.value() / point.size())
-                .min()
-                .orElseThrow();
-        double most = points.stream()
-                .mapToDouble(point -> point.value() / point.size())
-                .max()
-                .orElseThrow();
         return new Slope(
                 key.get(0),
                 key.get(1),
                 key.get(2),
                 meanValue - slope * meanSize,
                 slope,
-                least,
-                most,
-                points.size(),
-                sums);
+                ratios.getMin(),
+                ratios.getMax(),
+                bySize);
     }
 }
--- a/scale/src/test/java/gradehub/scale/MainTest.java
+++ b/scale/src/test/java/gradehub/scale/MainTest.java
@@ -108,6 +108,6 @@
         assertEquals(
                 5, Files.readAllLines(out.resolve("small-30-2-seconds.csv")).size());
         assertEquals(0, execute("slopes", out.resolve("summary.csv").toString()));
-        assertTrue(output.toString(StandardCharsets.UTF_8).contains("small calls [1/s]: slope"));
+        assertTrue(output.toString(StandardCharsets.UTF_8).contains("small,calls,1/s,"));
     }
 }
--- a/scale/src/test/java/gradehub/scale/result/SlopesTest.java
+++ b/scale/src/test/java/gradehub/scale/result/SlopesTest.java
@@ -36,6 +36,11 @@
         assertEquals(3.5, slope.mostRatio(), 1e-9);
         assertEquals(Map.of(10, 35.0, 20, 65.0, 40, 125.0), slope.means());
         assertEquals(3, slope.runs());
+        StringBuilder csv = new StringBuilder();
+        Slopes.write(List.of(slope), csv);
+        assertEquals(
+                "day,bytes,B/s,3,5,3.125,3.5,3,10:35 20:65 40:125,125,125",
+                csv.toString().lines().skip(1).findFirst().orElseThrow());
     }
 
     @Test
