Tests that make system calls of a real sidecar fail; red where it ends, hangs or forgets

A preloaded library of the tests (one C source) fails named calls by error and share, changed by the test while the process runs.

--- /dev/null
+++ b/sidecar/src/test/c/syscall_faults.c
@@ -0,0 +1,225 @@
+/*
+ * Makes system calls of a process fail, for tests. Preloaded into the process, it maps the file that
+ * SYSCALL_FAULTS names: one rule for each kind of call, which the test changes while the process runs.
+ * Without that variable it does nothing. SyscallFaults.java has the other side of the table.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+/* In the order of SyscallFaults.Call. */
+enum call { ACCEPT, SOCKET, CONNECT, BIND, LISTEN, READ, WRITE, EPOLL_WAIT, EPOLL_CTL, SETSOCKOPT, FCNTL, OPEN, CLOSE, LOG, CALLS };
+
+#define SHORT_TRANSFER (-1) /* in place of an error: transfer a few bytes only */
+#define MOST_SHORT_BYTES 7
+
+struct rule {
+    volatile int32_t error;
+    volatile int32_t percent;
+    volatile int32_t injected;
+    volatile int32_t unused;
+};
+
+struct table {
+    volatile uint64_t seed;
+    struct rule rules[CALLS];
+};
+
+static struct table *table;
+static const char *config;
+
+#define REAL(name) ((__typeof__(&name))real(#name))
+
+static void *real(const char *name)
+{
+    return dlsym(RTLD_NEXT, name);
+}
+
+__attribute__((constructor)) static void map_table(void)
+{
+    const char *file = getenv("SYSCALL_FAULTS");
+    int fd = file == NULL ? -1 : REAL(open64)(file, O_RDWR);
+    if (fd < 0) {
+        return;
+    }
+    void *mapped = mmap(NULL, sizeof(struct table), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    REAL(close)(fd);
+    config = getenv("BALANCER_CONFIG");
+    table = mapped == MAP_FAILED ? NULL : mapped;
+}
+
+/* xorshift64*; a race between threads only costs a draw. */
+static uint32_t draw(void)
+{
+    uint64_t x = table->seed;
+    x ^= x >> 12;
+    x ^= x << 25;
+    x ^= x >> 27;
+    table->seed = x;
+    return (uint32_t)((x * 2685821657736338717ULL) >> 33);
+}
+
+/* The error that this call is to end with, SHORT_TRANSFER, or 0. */
+static int fault(enum call call)
+{
+    if (table == NULL || table->rules[call].percent == 0) {
+        return 0;
+    }
+    if (draw() % 100 >= (uint32_t)table->rules[call].percent) {
+        return 0;
+    }
+    __sync_fetch_and_add(&table->rules[call].injected, 1);
+    return table->rules[call].error;
+}
+
+static int fails(enum call call)
+{
+    int error = fault(call);
+    if (error <= 0) {
+        return 0;
+    }
+    errno = error;
+    return 1;
+}
+
+static int is_socket(int fd)
+{
+    struct stat status;
+    return fstat(fd, &status) == 0 && S_ISSOCK(status.st_mode);
+}
+
+static size_t shortened(size_t length)
+{
+    size_t most = 1 + draw() % MOST_SHORT_BYTES;
+    return length < most ? length : most;
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *length)
+{
+    return fails(ACCEPT) ? -1 : REAL(accept)(fd, address, length);
+}
+
+int socket(int domain, int type, int protocol)
+{
+    return fails(SOCKET) ? -1 : REAL(socket)(domain, type, protocol);
+}
+
+/* An interrupted connect goes on in the background, as the system's does. */
+int connect(int fd, const struct sockaddr *address, socklen_t length)
+{
+    int error = fault(CONNECT);
+    if (error == EINTR) {
+        REAL(connect)(fd, address, length);
+    }
+    if (error > 0) {
+        errno = error;
+        return -1;
+    }
+    return REAL(connect)(fd, address, length);
+}
+
+int bind(int fd, const struct sockaddr *address, socklen_t length)
+{
+    return fails(BIND) ? -1 : REAL(bind)(fd, address, length);
+}
+
+int listen(int fd, int backlog)
+{
+    return fails(LISTEN) ? -1 : REAL(listen)(fd, backlog);
+}
+
+ssize_t read(int fd, void *bytes, size_t length)
+{
+    int error = table != NULL && is_socket(fd) ? fault(READ) : 0;
+    if (error > 0) {
+        errno = error;
+        return -1;
+    }
+    return REAL(read)(fd, bytes, error == SHORT_TRANSFER ? shortened(length) : length);
+}
+
+ssize_t write(int fd, const void *bytes, size_t length)
+{
+    int error = table == NULL ? 0 : fd == STDERR_FILENO ? fault(LOG) : is_socket(fd) ? fault(WRITE) : 0;
+    if (error > 0) {
+        errno = error;
+        return -1;
+    }
+    return REAL(write)(fd, bytes, error == SHORT_TRANSFER ? shortened(length) : length);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count)
+{
+    int error = table != NULL && is_socket(fd) ? fault(WRITE) : 0;
+    if (error > 0) {
+        errno = error;
+        return -1;
+    }
+    return error == SHORT_TRANSFER
+        ? REAL(write)(fd, parts[0].iov_base, shortened(parts[0].iov_len))
+        : REAL(writev)(fd, parts, count);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout)
+{
+    return fails(EPOLL_WAIT) ? -1 : REAL(epoll_wait)(fd, events, most, timeout);
+}
+
+int epoll_ctl(int fd, int operation, int target, struct epoll_event *event)
+{
+    return fails(EPOLL_CTL) ? -1 : REAL(epoll_ctl)(fd, operation, target, event);
+}
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length)
+{
+    return fails(SETSOCKOPT) ? -1 : REAL(setsockopt)(fd, level, name, value, length);
+}
+
+int fcntl(int fd, int command, ...)
+{
+    va_list rest;
+    va_start(rest, command);
+    void *argument = va_arg(rest, void *);
+    va_end(rest);
+    if (table != NULL && is_socket(fd) && fails(FCNTL)) {
+        return -1;
+    }
+    return REAL(fcntl)(fd, command, argument);
+}
+
+/* Of the files that are opened, the configuration alone. */
+int open64(const char *path, int flags, ...)
+{
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = va_arg(rest, mode_t);
+    va_end(rest);
+    if (config != NULL && strcmp(path, config) == 0 && fails(OPEN)) {
+        return -1;
+    }
+    return REAL(open64)(path, flags, mode);
+}
+
+/* An interrupted close has closed all the same. */
+int close(int fd)
+{
+    int fails_after = table != NULL && is_socket(fd) && fails(CLOSE);
+    int error = errno;
+    int closed = REAL(close)(fd);
+    if (fails_after) {
+        errno = error;
+        return -1;
+    }
+    return closed;
+}
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
@@ -0,0 +1,217 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gradehub.node.SyscallFaults.Call;
+import gradehub.node.SyscallFaults.Error;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A sidecar in service whose system calls fail for a moment: each request still has its one answer. */
+class ServiceFaultIT {
+
+    private static final long SEED = 1;
+    private static final int CLIENTS = 6;
+    private static final int REQUESTS_EACH = 40;
+    /** A request ends in its own time, 30 s; what meets the faults is a matter of milliseconds. */
+    private static final int LONGEST_ANSWER_MS = 5_000;
+    /** SIGTERM lets what is taken end, which takes about one second where nothing is. */
+    private static final long STOP_MS = 10_000;
+
+    @TempDir
+    private Path folder;
+
+    private SyscallFaults faults;
+    private Rig rig;
+    private AnsweringPeer upstream;
+    private AnsweringPeer discovery;
+    private SidecarProcess sidecar;
+
+    @BeforeEach
+    void open() throws Exception {
+        faults = new SyscallFaults(folder, SEED);
+        rig = new Rig();
+        upstream = AnsweringPeer.upstream();
+        discovery = AnsweringPeer.discovery(Rig.list(1, true, Rig.member("u1", upstream.address(), "active")));
+        sidecar = SidecarProcess.start(
+                folder, rig.config(null).put("discovery", discovery.address()), faults.environment());
+        sidecar.awaitReady();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        sidecar.close();
+        discovery.close();
+        upstream.close();
+        rig.close();
+    }
+
+    /** The statuses that a client's requests end with; 0, the last, where one has no answer. */
+    private List<Integer> ask(int client) throws IOException {
+        List<Integer> statuses = new ArrayList<>();
+        Wire wire = sidecar.client();
+        try {
+            for (int i = 0; i < REQUESTS_EACH; i++) {
+                wire.patienceMs(LONGEST_ANSWER_MS);
+                wire.send(Rig.get(Rig.id(1 + client * REQUESTS_EACH + i)));
+                Wire.Message answer = wire.read();
+                statuses.add(answer.status());
+                if ("close".equals(answer.header("Connection"))) {
+                    wire.close();
+                    wire = sidecar.client();
+                }
+            }
+        } catch (IOException e) {
+            statuses.add(0);
+        }
+        wire.close();
+        return statuses;
+    }
+
+    private List<Integer> askAll() throws Exception {
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        List<Future<List<Integer>>> asked = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            int client = i;
+            asked.add(clients.submit(() -> ask(client)));
+        }
+        List<Integer> statuses = new ArrayList<>();
+        for (Future<List<Integer>> each : asked) {
+            statuses.addAll(each.get());
+        }
+        clients.shutdown();
+        return statuses;
+    }
+
+    /** Related to c9ba44: an interrupted read was taken for the end of a connection, and its request had no answer. */
+    @ParameterizedTest
+    @CsvSource({
+        "READ, EINTR, 30",
+        "WRITE, EINTR, 30",
+        "READ, SHORT_TRANSFER, 100",
+        "WRITE, SHORT_TRANSFER, 100",
+        "EPOLL_WAIT, EINTR, 50",
+        "LOG, ENOSPC, 100",
+        "CLOSE, EINTR, 50",
+        "CLOSE, EIO, 50"
+    })
+    void aCallThatIsInterruptedOrShortCostsNoAnswer(Call call, Error error, int percent) throws Exception {
+        faults.set(call, error, percent);
+        List<Integer> statuses = askAll();
+        faults.clear(call);
+        assertTrue(statuses.stream().allMatch(status -> status == 200), statuses + "\n" + sidecar.log());
+        assertTrue(sidecar.endsBySigterm(STOP_MS), "SIGTERM ends it");
+    }
+
+    /** Related to c9ba44: calls on sockets failed for a moment; requests hung, and SIGTERM did not end the process. */
+    @ParameterizedTest
+    @CsvSource({
+        "SETSOCKOPT, ENOMEM, 50",
+        "SETSOCKOPT, ENOBUFS, 100",
+        "FCNTL, EINVAL, 50",
+        "SOCKET, EMFILE, 50",
+        "CONNECT, ENETUNREACH, 50",
+        "CONNECT, EADDRNOTAVAIL, 100",
+        "CONNECT, EINTR, 50",
+        "READ, ETIMEDOUT, 20",
+        "WRITE, EHOSTUNREACH, 20",
+        "EPOLL_CTL, ENOMEM, 20"
+    })
+    void aCallThatFailsLeavesNothingBehind(Call call, Error error, int percent) throws Exception {
+        faults.set(call, error, percent);
+        askAll();
+        faults.clear(call);
+        List<Integer> statuses = askAll();
+        assertTrue(statuses.stream().allMatch(status -> status == 200), statuses + "\n" + sidecar.log());
+        assertTrue(sidecar.endsBySigterm(STOP_MS), () -> "SIGTERM does not end it");
+        assertEquals(0, sidecar.process().exitValue());
+    }
+
+    /** Related to c9ba44: the first step of the stop that failed left the process up for good. */
+    @ParameterizedTest
+    @CsvSource({"FCNTL, EINVAL, 100", "ACCEPT, EMFILE, 100", "SETSOCKOPT, ENOMEM, 100", "EPOLL_CTL, ENOMEM, 50"})
+    void callsThatFailThroughoutTheStopDoNotKeepTheProcessUp(Call call, Error error, int percent) throws Exception {
+        try (Wire resting = sidecar.client()) {
+            assertEquals(200, resting.send(Rig.get(Rig.id(1))).read().status());
+            faults.set(call, error, percent);
+            assertTrue(sidecar.endsBySigterm(STOP_MS), () -> "SIGTERM does not end it");
+            assertEquals(0, sidecar.process().exitValue());
+        }
+    }
+
+    /** Related to c9ba44: one failed accept paused accepting for a whole second. */
+    @Test
+    void acceptingGoesOnSoonAfterAFailure() throws Exception {
+        long pauseMs = 700;
+        faults.set(Call.ACCEPT, Error.ENFILE, 100);
+        try (Wire client = sidecar.client()) {
+            client.send(Rig.get(Rig.id(1)));
+            faults.awaitInjected(Call.ACCEPT, 3, sidecar.process());
+            int before = faults.injected(Call.ACCEPT);
+            faults.awaitInjected(Call.ACCEPT, before + 1, sidecar.process());
+            faults.clear(Call.ACCEPT);
+            long clearedNanos = System.nanoTime();
+            assertEquals(200, client.read().status());
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - clearedNanos);
+            assertTrue(tookMs < pauseMs, "it took " + tookMs + " ms");
+        }
+    }
+
+    /** Without a pause the event loop would spin, and serve nobody else the while. */
+    @Test
+    void acceptingThatFailsDoesNotSpin() throws Exception {
+        try (Wire served = sidecar.client()) {
+            assertEquals(200, served.send(Rig.get(Rig.id(1))).read().status());
+            long beginNanos = System.nanoTime();
+            faults.set(Call.ACCEPT, Error.ENFILE, 100);
+            try (Wire waiting = sidecar.client()) {
+                faults.awaitInjected(Call.ACCEPT, 3, sidecar.process());
+                for (int i = 2; i < 2 + REQUESTS_EACH; i++) {
+                    assertEquals(200, served.send(Rig.get(Rig.id(i))).read().status());
+                }
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beginNanos);
+                int failures = faults.injected(Call.ACCEPT);
+                assertTrue(failures <= 2 + tookMs / 5, failures + " failures in " + tookMs + " ms");
+                faults.clear(Call.ACCEPT);
+                assertEquals(
+                        200,
+                        waiting.send(Rig.get(Rig.id(2 + REQUESTS_EACH))).read().status());
+            }
+        }
+    }
+
+    /** Related to c9ba44: a SIGHUP whose configuration could not be read for a moment was lost for good. */
+    @Test
+    void aReloadThatCannotReadItsFileIsTriedAgain() throws Exception {
+        try (AnsweringPeer moved =
+                AnsweringPeer.discovery(Rig.list(2, true, Rig.member("u1", upstream.address(), "active")))) {
+            ObjectNode config = (ObjectNode) Config.JSON.readTree(Files.readString(sidecar.config()));
+            Files.writeString(
+                    sidecar.config(), config.put("discovery", moved.address()).toString());
+            faults.set(Call.OPEN_CONFIG, Error.EIO, 100);
+            sidecar.signal("HUP");
+            faults.awaitInjected(Call.OPEN_CONFIG, 1, sidecar.process());
+            faults.clear(Call.OPEN_CONFIG);
+            long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_ANSWER_MS);
+            while (moved.requests() == 0) {
+                assertTrue(System.nanoTime() < untilNanos, "the new discovery is never called: " + sidecar.log());
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -0,0 +1,95 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The packaged sidecar as a process of its own, under this configuration and, where there are any, faults. */
+final class SidecarProcess implements AutoCloseable {
+
+    private static final long LOOK_MS = 5;
+
+    private final Path config;
+    private final Path output;
+    private final InetSocketAddress address;
+    private final Process process;
+
+    private SidecarProcess(Path config, Path output, InetSocketAddress address, Process process) {
+        this.config = config;
+        this.output = output;
+        this.address = address;
+        this.process = process;
+    }
+
+    /** Starts one whose files are in this folder; {@code root} gets the address that it is to listen on. */
+    static SidecarProcess start(Path folder, ObjectNode root, Map<String, String> environment) throws IOException {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0, 1, Wire.loopback())) {
+            address = (InetSocketAddress) free.getLocalSocketAddress();
+            root.put("listen", Rig.address(free));
+        }
+        Path config = folder.resolve("config.json");
+        Path output = folder.resolve("sidecar.log");
+        Files.writeString(config, root.toString());
+        Map<String, String> all = new HashMap<>(environment);
+        all.put("BALANCER_CONFIG", config.toAbsolutePath().toString());
+        return new SidecarProcess(config, output, address, PackagedSidecar.start(all, output));
+    }
+
+    Process process() {
+        return process;
+    }
+
+    Path config() {
+        return config;
+    }
+
+    String log() throws IOException {
+        return Files.readString(output);
+    }
+
+    Wire client() throws IOException {
+        return Wire.to(address);
+    }
+
+    /** Whether it says that it is ready; false where it does not listen. */
+    boolean isReady() {
+        try (Wire client = client()) {
+            return client.send("GET /ready HTTP/1.1\r\n\r\n").read().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    void awaitReady() throws IOException, InterruptedException {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Wire.PATIENCE_MS);
+        while (!isReady()) {
+            assertTrue(process.isAlive(), "it ended: " + log());
+            assertTrue(System.nanoTime() < untilNanos, "it is not ready: " + log());
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+        }
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        TrainingSession.signal(process.pid(), name);
+    }
+
+    /** Whether SIGTERM ends it within this time. */
+    boolean endsBySigterm(long withinMs) throws IOException, InterruptedException {
+        signal("TERM");
+        return process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/StartFaultIT.java
@@ -0,0 +1,123 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gradehub.node.SyscallFaults.Call;
+import gradehub.node.SyscallFaults.Error;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The start of a sidecar: calls that fail for a moment, and a list that has grown old since the last run. */
+class StartFaultIT {
+
+    private static final long SEED = 1;
+    /** More than the virtual machine and a start without retries make. */
+    private static final int FAILURES = 20;
+
+    @TempDir
+    private Path folder;
+
+    /** Incident c9ba44: a process that found no socket, port or configuration for a moment ended and did not serve. */
+    @ParameterizedTest
+    @CsvSource({
+        "SOCKET, ENOBUFS",
+        "SOCKET, EMFILE",
+        "BIND, EADDRINUSE",
+        "LISTEN, EADDRINUSE",
+        "SETSOCKOPT, ENOMEM",
+        "FCNTL, EINVAL",
+        "OPEN_CONFIG, EIO"
+    })
+    void aCallThatFailsForTheFirstMomentsDelaysTheStartAndDoesNotEndIt(Call call, Error error) throws Exception {
+        SyscallFaults faults = new SyscallFaults(folder, SEED);
+        faults.set(call, error, 100);
+        try (Rig rig = new Rig();
+                AnsweringPeer upstream = AnsweringPeer.upstream();
+                AnsweringPeer discovery =
+                        AnsweringPeer.discovery(Rig.list(1, true, Rig.member("u1", upstream.address(), "active")));
+                SidecarProcess sidecar = SidecarProcess.start(
+                        folder, rig.config(null).put("discovery", discovery.address()), faults.environment())) {
+            faults.awaitInjected(call, FAILURES, sidecar.process());
+            faults.clear(call);
+            sidecar.awaitReady();
+            try (Wire client = sidecar.client()) {
+                assertEquals(Rig.id(1), client.send(Rig.get(Rig.id(1))).read().body());
+            }
+        }
+    }
+
+    /** What no retry can mend still ends the process at once, with the error. */
+    @Test
+    void aWrongConfigurationEndsTheStart() throws Exception {
+        try (Rig rig = new Rig()) {
+            ObjectNode config = rig.config(null);
+            config.remove("seed");
+            try (SidecarProcess sidecar =
+                    SidecarProcess.start(folder, config, new SyscallFaults(folder, SEED).environment())) {
+                assertTrue(sidecar.process().waitFor(Wire.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                assertEquals(2, sidecar.process().exitValue());
+                assertTrue(sidecar.log().contains("seed: missing"), sidecar.log());
+            }
+        }
+    }
+
+    /**
+     * Incident c9ba44, rule drain: a restarted sidecar listened with the list of its configuration, while discovery was
+     * there and had not answered yet, and sent to an upstream that had gone while it was down.
+     */
+    @Test
+    void aRestartedSidecarDoesNotServeByItsOldListBeforeDiscoveryHasAnswered() throws Exception {
+        try (Rig rig = new Rig();
+                AnsweringPeer gone = AnsweringPeer.upstream();
+                AnsweringPeer present = AnsweringPeer.upstream()) {
+            ServerSocket discovery = rig.discovery;
+            String known = Rig.list(1, true, Rig.member("u1", gone.address(), "active"));
+            ObjectNode config = rig.config(known);
+            try (SidecarProcess sidecar =
+                            SidecarProcess.start(folder, config, new SyscallFaults(folder, SEED).environment());
+                    Wire watch = Rig.accept(discovery)) {
+                watch.read();
+                while (!sidecar.log().contains("waiting for the list")) {
+                    assertFalse(sidecar.isReady(), "it serves by a list of unknown age");
+                    TimeUnit.MILLISECONDS.sleep(1);
+                }
+                assertFalse(sidecar.isReady());
+                watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Rig.chunk(Rig.list(2, true, Rig.member("u2", present.address(), "active"))));
+                sidecar.awaitReady();
+                try (Wire client = sidecar.client()) {
+                    assertEquals(
+                            Rig.id(1), client.send(Rig.get(Rig.id(1))).read().body());
+                }
+                assertEquals(0, gone.requests());
+                assertEquals(1, present.requests());
+            }
+        }
+    }
+
+    /** Discovery that can't be reached must not keep a sidecar from serving by the list that it has. */
+    @Test
+    void withoutDiscoveryTheOldListIsServedInTime() throws Exception {
+        try (Rig rig = new Rig();
+                AnsweringPeer upstream = AnsweringPeer.upstream()) {
+            String known = Rig.list(1, true, Rig.member("u1", upstream.address(), "active"));
+            ObjectNode config = rig.config(known).put("discovery", rig.deadAddress());
+            try (SidecarProcess sidecar =
+                    SidecarProcess.start(folder, config, new SyscallFaults(folder, SEED).environment())) {
+                sidecar.awaitReady();
+                try (Wire client = sidecar.client()) {
+                    assertEquals(
+                            Rig.id(1), client.send(Rig.get(Rig.id(1))).read().body());
+                }
+            }
+        }
+    }
+}
--- a/sidecar/src/test/java/gradehub/node/Wire.java
+++ b/sidecar/src/test/java/gradehub/node/Wire.java
@@ -46,6 +46,11 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
+    /** From now on this long for what must come, in place of the usual patience. */
+    void patienceMs(int patienceMs) throws IOException {
+        socket.setSoTimeout(patienceMs);
+    }
+
     static Wire to(InetSocketAddress address) throws IOException {
         return new Wire(new Socket(address.getAddress(), address.getPort()));
     }
