Log why each call to discovery ends, and failed sockets, one line a second

Each end of a call now has its reason; what can come in floods is one line a second with a count of what was left out.

--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -51,6 +51,7 @@
     private final long longestPauseMs;
     private final Supplier<LookingChannel> sockets;
     private final Engine engine;
+    private final RateLimitedLog calls = new RateLimitedLog();
     /** The latest list from this address, or -1: another address may count in its own way. */
     private long revision = -1;
 
@@ -166,6 +167,8 @@
         private final LookingChannel channel;
         private long heardNanos = System.nanoTime();
         private boolean whole;
+        /** Why it ends, where that is known before its connection has closed. */
+        private String end = "closed by discovery";
 
         private Call(boolean watch) {
             this.watch = watch;
@@ -190,9 +193,14 @@
             connecting.addListener(connected -> {
                 if (connected.isSuccess()) {
                     ask();
+                } else {
+                    end = "can't connect: " + connected.cause().getMessage();
                 }
             });
-            channel.closeFuture().addListener(closed -> ended(this));
+            channel.closeFuture().addListener(closed -> {
+                calls.warn("a call to discovery at " + target + " has ended: " + end);
+                ended(this);
+            });
             checkSilence();
         }
 
@@ -201,17 +209,22 @@
             try {
                 return sockets.get();
             } catch (ChannelException e) {
-                LOG.log(System.Logger.Level.WARNING, "can't open a socket for discovery: " + e.getMessage());
+                calls.warn("can't open a socket for discovery: " + e.getMessage());
                 return null;
             }
         }
 
         private void close() {
             if (channel != null) {
-                channel.close();
+                close("given up for another");
             }
         }
 
+        private void close(String why) {
+            end = why;
+            channel.close();
+        }
+
         private void ask() {
             String from = revision >= 0 ? "&from=" + revision : "";
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(
@@ -226,7 +239,7 @@
         private void checkSilence() {
             long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardNanos);
             if (silentMs >= SILENCE_MS && channel.isQuiet()) {
-                channel.close();
+                close("silent for " + silentMs + " ms");
             } else if (channel.isOpen()) {
                 loop.schedule(this::checkSilence, Math.max(1, SILENCE_MS - silentMs), TimeUnit.MILLISECONDS);
             }
@@ -238,7 +251,7 @@
             if (message.decoderResult().isFailure()
                     || message instanceof HttpResponse response
                             && !response.status().equals(HttpResponseStatus.OK)) {
-                channel.close();
+                close(message instanceof HttpResponse response ? "status " + response.status() : "no HTTP");
                 return;
             }
             if (message instanceof HttpContent content) {
@@ -264,7 +277,7 @@
                 last = true;
             }
             if (last) {
-                channel.close();
+                close("its answer is over");
             }
         }
 
@@ -282,7 +295,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            channel.close();
+            close(String.valueOf(cause));
         }
     }
 }
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -95,6 +95,7 @@
     private final Supplier<LookingChannel> opened;
     private final Listener listener;
     private final Map<Integer, Pool> pools = new HashMap<>();
+    private final RateLimitedLog failures = new RateLimitedLog();
 
     Upstreams(
             EventLoop loop,
@@ -268,7 +269,7 @@
         try {
             socket = opened.get();
         } catch (ChannelException e) {
-            LOG.log(System.Logger.Level.WARNING, "can't open a socket for an upstream: " + e.getMessage());
+            failures.warn("can't open a socket for an upstream: " + e.getMessage());
             end(attempt, Outcome.CONNECT_FAILED, NO_REPORT, null);
             return;
         }
