Do not take an interrupted read for the end of a connection

Callers saw connections closed with no answer, or hung until their own time-out, while reads returned EINTR. Cause: a non-blocking read in this runtime returns -3 for an interrupted call; the event loop's channel and LookingChannel.look() took any negative count for the end. look() moreover left a connection open on which its own read had failed, with the request called off. Change: only -1 is an end; an interrupted read reads nothing and the level-triggered selector tells of the input again; a look reads again, 16 times at the most; a connection whose error a look has taken is closed, which ends its requests once.

--- a/sidecar/src/main/java/gradehub/node/LookingChannel.java
+++ b/sidecar/src/main/java/gradehub/node/LookingChannel.java
@@ -17,6 +17,11 @@
 
     private static final int FIRST_BYTES = 1024;
 
+    /** What a read of the socket returns at the end of the stream; any other negative number is no end. */
+    private static final int END = -1;
+    /** Interrupted reads of one look; the event loop reads on after that. */
+    private static final int MOST_INTERRUPTED = 16;
+
     private ByteBuf ahead;
     private boolean ended;
 
@@ -47,14 +52,10 @@
         }
         int before = ahead.readableBytes();
         try {
-            int read = 1;
-            while (read > 0 && ahead.maxWritableBytes() > 0) {
-                ahead.ensureWritable(Math.min(FIRST_BYTES, ahead.maxWritableBytes()));
-                read = ahead.writeBytes(javaChannel(), ahead.writableBytes());
-            }
-            ended = read < 0;
+            ended = readToAhead() == END;
         } catch (IOException e) {
             ended = true;
+            closeSoon();
         }
         if (ahead.readableBytes() > before) {
             readAhead();
@@ -62,6 +63,22 @@
         letGo();
     }
 
+    /** Reads what is there; returns what the last read did. */
+    private int readToAhead() throws IOException {
+        int read = 1;
+        int interrupted = 0;
+        while ((read > 0 || read < END && interrupted++ < MOST_INTERRUPTED) && ahead.maxWritableBytes() > 0) {
+            ahead.ensureWritable(Math.min(FIRST_BYTES, ahead.maxWritableBytes()));
+            read = ahead.writeBytes(javaChannel(), ahead.writableBytes());
+        }
+        return read;
+    }
+
+    /** The error has been taken from the socket: the event loop would not come by it. */
+    private void closeSoon() {
+        eventLoop().execute(this::close);
+    }
+
     private void letGo() {
         if (ahead != null && !ahead.isReadable()) {
             ahead.release();
@@ -89,7 +106,8 @@
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
         if (ahead == null) {
-            return super.doReadBytes(into);
+            int read = super.doReadBytes(into);
+            return read < END ? 0 : read; // an interrupted read: the selector tells of the input again
         }
         int bytes = Math.min(ahead.readableBytes(), into.writableBytes());
         into.writeBytes(ahead, bytes);
