Accept again 10 ms after a failure, and keep the listener open whatever fails

Callers waited for up to a second longer than accept failed: one failure pauses accepting for 1 s. Cause: the bootstrap's acceptor switches reading off for a second at any IOException of the listener; an exception of another kind, as from setting up a channel, closed the listener for good. Change: ClientListener takes its own failures, pauses for 10 ms, and keeps a client that was accepted and could not be set up for its next try.

--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -1,18 +1,25 @@
 package gradehub.node;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
-/** Accepts clients on channels that can be looked at. */
+/** Accepts clients on channels that can be looked at, and goes on soon after a failure that passes. */
 final class ClientListener extends NioServerSocketChannel {
 
-    private static final System.Logger LOG = System.getLogger("gradehub");
+    /** From a failed accept to the next: what failed, as for want of descriptors, fails again at once. */
+    private static final long PAUSE_MS = 10;
 
     private final IntSupplier room;
+    private final RateLimitedLog failures = new RateLimitedLog();
+    private boolean pausing;
+    /** Accepted, but not set up yet because that failed. */
+    private SocketChannel unprepared;
 
     /** Accepts as many clients at once as there is {@code room} for. */
     ClientListener(IntSupplier room) {
@@ -21,19 +28,51 @@
 
     /** All that wait are accepted in one go: whoever is left would wait for another turn of the event loop. */
     @Override
-    protected int doReadMessages(List<Object> accepted) throws IOException {
-        return accept(accepted, Math.max(1, room.getAsInt()));
+    protected int doReadMessages(List<Object> accepted) {
+        int before = accepted.size();
+        try {
+            accept(accepted, Math.max(1, room.getAsInt()));
+        } catch (IOException | ChannelException e) {
+            failures.warn("can't accept: " + e.getMessage());
+            pause();
+        }
+        return accepted.size() - before;
     }
 
-    private int accept(List<Object> accepted, int most) throws IOException {
+    private void accept(List<Object> accepted, int most) throws IOException {
         for (int count = 0; count < most; count++) {
-            SocketChannel client = javaChannel().accept();
-            if (client == null) {
-                return count;
+            if (unprepared == null) {
+                unprepared = javaChannel().accept();
+            }
+            if (unprepared == null) {
+                return;
             }
+            unprepared.configureBlocking(false);
+            SocketChannel client = unprepared;
+            unprepared = null;
             accepted.add(new LookingChannel(this, client));
         }
-        return most;
+    }
+
+    private void pause() {
+        pausing = true;
+        acceptWhileThereIsRoom();
+        eventLoop()
+                .schedule(
+                        () -> {
+                            pausing = false;
+                            acceptWhileThereIsRoom();
+                        },
+                        PAUSE_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    void acceptWhileThereIsRoom() {
+        boolean accepts = !pausing && room.getAsInt() > 0;
+        config().setAutoRead(accepts);
+        if (accepts && unprepared != null) {
+            acceptAll(1); // the selector does not tell of one that has been accepted
+        }
     }
 
     /** Accepts those that wait, up to this many: the listener's close would reset them, and what they have sent. */
@@ -41,11 +80,20 @@
         List<Object> waiting = new ArrayList<>();
         try {
             accept(waiting, most);
-        } catch (IOException e) {
-            LOG.log(System.Logger.Level.WARNING, "can't accept what waits: " + e.getMessage());
+        } catch (IOException | ChannelException e) {
+            failures.warn("can't accept what waits: " + e.getMessage());
+            pause();
         }
         for (Object client : waiting) {
             pipeline().fireChannelRead(client);
         }
     }
+
+    @Override
+    protected void doClose() throws Exception {
+        if (unprepared != null) {
+            unprepared.close();
+        }
+        super.doClose();
+    }
 }
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -114,7 +114,7 @@
 
     private void acceptWhileThereIsRoom() {
         if (listener != null) {
-            listener.config().setAutoRead(sockets.roomForClients() > 0);
+            listener.acceptWhileThereIsRoom();
         }
     }
 
