Leave TCP_NODELAY to the channel: a failure to set it closed the connection

Callers saw new connections closed with no answer while setsockopt failed. Cause: a bootstrap closes a channel on which one of its options can't be set ("Failed to register an accepted channel" in the log of ServiceFaultIT, SETSOCKOPT 100%). The channel's own configuration sets TCP_NODELAY already and passes over a failure. Change: the option is no longer set a second time by the three bootstraps. A connection on which it failed goes on with small writes delayed.

--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -64,7 +64,6 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, oneAtATime())
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -181,7 +181,6 @@
             ChannelFuture connecting = new Bootstrap()
                     .group(loop)
                     .channelFactory(() -> channel)
-                    .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMs))
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
--- a/sidecar/src/main/java/gradehub/node/LookingChannel.java
+++ b/sidecar/src/main/java/gradehub/node/LookingChannel.java
@@ -8,7 +8,8 @@
 
 /**
  * A socket on which one can look at what has come and has not been read by the event loop yet. What a look finds is
- * read by the event loop all the same, in its turn.
+ * read by the event loop all the same, in its turn. Its configuration sets TCP_NODELAY where the system can; as an option
+ * of a bootstrap, a failure to set it would close the connection.
  */
 final class LookingChannel extends NioSocketChannel {
 
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -80,7 +80,6 @@
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channelFactory(() -> channel)
-                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .handler(new ChannelInitializer<SocketChannel>() {
