Keep periodic tasks going when one run of them fails

A periodic task of the event loop ends for good at its first exception: time-outs of clients and the closing of idle connections would stop.

--- a/sidecar/src/main/java/gradehub/node/ClientKeeper.java
+++ b/sidecar/src/main/java/gradehub/node/ClientKeeper.java
@@ -26,7 +26,11 @@
         this.clock = clock;
         this.lag = lag;
         this.sockets = sockets;
-        loop.scheduleWithFixedDelay(this::look, EventLoopLag.PERIOD_MS, EventLoopLag.PERIOD_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> GuardedTask.run("looking at clients' connections", this::look),
+                EventLoopLag.PERIOD_MS,
+                EventLoopLag.PERIOD_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     void opened(ClientConnection connection) {
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -113,7 +113,11 @@
         this.opened = opened;
         this.listener = listener;
         long sweepMs = Math.max(1, Math.round(idleMs / SWEEPS_IN_IDLE));
-        loop.scheduleWithFixedDelay(this::closeLongIdle, sweepMs, sweepMs, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> GuardedTask.run("closing idle connections", this::closeLongIdle),
+                sweepMs,
+                sweepMs,
+                TimeUnit.MILLISECONDS);
     }
 
     // ---- The list: connections follow what discovery says.
