Read a configuration again after SIGHUP until it is whole or a newer signal comes

What callers saw: requests to servers that had gone (drain): the move of discovery was lost for good when the file could not be read, or was half written, at the moment of the signal. Cause: the file was read once for each signal.

--- a/sidecar/src/main/java/gradehub/node/Config.java
+++ b/sidecar/src/main/java/gradehub/node/Config.java
@@ -31,13 +31,34 @@
 
     private static final String FILE = "BALANCER_CONFIG";
 
+    /** What is wrong with a configuration. */
+    enum Fault {
+        /** The file can't be read now. */
+        UNREADABLE,
+        /** The file ends early or is no JSON: it may be half written. */
+        NO_JSON,
+        /** The file is whole, and the sidecar can't run with what it says. */
+        WRONG
+    }
+
     /** A configuration that the sidecar can't run with; the message names the key. */
     static final class BadConfigException extends Exception {
 
         private static final long serialVersionUID = 1L;
 
+        private final Fault fault;
+
         BadConfigException(String message) {
+            this(Fault.WRONG, message);
+        }
+
+        BadConfigException(Fault fault, String message) {
             super(message);
+            this.fault = fault;
+        }
+
+        Fault fault() {
+            return fault;
         }
     }
 
@@ -47,11 +68,15 @@
             throw new BadConfigException(FILE + " is not set");
         }
         try {
-            return of(JSON.readTree(Files.readAllBytes(Path.of(file))));
+            JsonNode root = JSON.readTree(Files.readAllBytes(Path.of(file)));
+            if (root.isMissingNode()) {
+                throw new BadConfigException(Fault.NO_JSON, FILE + ": " + file + " is empty");
+            }
+            return of(root);
         } catch (JsonProcessingException e) {
-            throw new BadConfigException(FILE + ": " + file + " is no JSON: " + e.getOriginalMessage());
+            throw new BadConfigException(Fault.NO_JSON, FILE + ": " + file + " is no JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
-            throw new BadConfigException(FILE + ": can't read " + file);
+            throw new BadConfigException(Fault.UNREADABLE, FILE + ": can't read " + file + ": " + e.getMessage());
         }
     }
 
--- a/sidecar/src/main/java/gradehub/node/ReloadSignal.java
+++ b/sidecar/src/main/java/gradehub/node/ReloadSignal.java
@@ -1,22 +1,30 @@
 package gradehub.node;
 
 import java.lang.reflect.Proxy;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * SIGHUP: read the configuration again. It is caught from the start on, since it would end the virtual machine; one
- * that comes before there is anything to reload is kept for later. Files are read on a thread of its own.
+ * that comes before there is anything to reload is kept for later. Files are read on a thread of its own. What could
+ * not be read is read again until it can be, or until a newer signal comes.
  */
 final class ReloadSignal {
 
-    private final ExecutorService reading = Executors.newSingleThreadExecutor(action -> {
+    private static final long FIRST_PAUSE_MS = 20;
+    private static final long LONGEST_PAUSE_MS = 500;
+
+    private final ScheduledExecutorService reading = Executors.newSingleThreadScheduledExecutor(action -> {
         Thread thread = new Thread(action, "reload");
         thread.setDaemon(true);
         return thread;
     });
-    private Runnable reload;
+    private BooleanSupplier reload;
     private boolean early;
+    /** How many signals have come: a retry for an older one is of no use. */
+    private volatile int signals;
 
     /** By reflection: the one means there is for signals makes the compiler warn, and warnings end the build. */
     ReloadSignal() throws ReflectiveOperationException {
@@ -31,19 +39,31 @@
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), calls);
     }
 
-    /** Runs this at each signal from now on, and now if one has come before. */
-    synchronized void onSignal(Runnable action) {
+    /** Runs this at each signal from now on, and now if one has come before; again where it returns false. */
+    synchronized void onSignal(BooleanSupplier action) {
         reload = action;
         if (early) {
-            reading.execute(action);
+            read(signals, 0);
         }
     }
 
     private synchronized void came() {
+        signals++;
         if (reload == null) {
             early = true;
         } else {
-            reading.execute(reload);
+            read(signals, 0);
         }
     }
+
+    private void read(int signal, long pauseMs) {
+        reading.schedule(
+                () -> {
+                    if (signal == signals && !reload.getAsBoolean()) {
+                        read(signal, Math.min(LONGEST_PAUSE_MS, Math.max(FIRST_PAUSE_MS, 2 * pauseMs)));
+                    }
+                },
+                pauseMs,
+                TimeUnit.MILLISECONDS);
+    }
 }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -33,6 +33,7 @@
     private final Discovery discovery;
     private final ClientServer clients;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final RateLimitedLog reloadLog = new RateLimitedLog();
     private SocketAddress address;
 
     private Sidecar(EventLoop loop, Config config, Supplier<LookingChannel> opened) {
@@ -139,15 +140,21 @@
         return address;
     }
 
-    /** Reads the configuration again. Only where discovery is can change while it runs; a bad file changes nothing. */
-    void reload(Map<String, String> environment) {
+    /**
+     * Reads the configuration again. Only where discovery is can change while it runs; a bad file changes nothing.
+     * Returns false where the file could not be read as a whole, as when it is being replaced, and may be later.
+     */
+    boolean reload(Map<String, String> environment) {
         try {
             Config read = Config.load(environment);
             loop.execute(() -> discovery.moveTo(read.discovery()));
-        } catch (Config.BadConfigException | RuntimeException e) {
-            LOG.log(
-                    System.Logger.Level.ERROR,
-                    "the new configuration is of no use, the old one stands: " + e.getMessage());
+            return true;
+        } catch (Config.BadConfigException e) {
+            reloadLog.warn("the new configuration is of no use, the old one stands: " + e.getMessage());
+            return e.fault() == Config.Fault.WRONG;
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "reloading failed, the old configuration stands", e);
+            return true;
         }
     }
 
