Go on starting while sockets, the port or the configuration fail for a moment

Cause: the configuration was read once, the port bound once; a failed socket moreover gave a failed channel that ClientServer.bind cast to the listener (ClassCastException). A missing or wrong configuration still ends the start at once with status 2.

--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -78,7 +78,11 @@
                     }
                 })
                 .bind(address);
-        listener = (ClientListener) bound.channel();
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                listener = (ClientListener) bound.channel();
+            }
+        });
         return bound;
     }
 
--- a/sidecar/src/main/java/gradehub/node/Config.java
+++ b/sidecar/src/main/java/gradehub/node/Config.java
@@ -80,6 +80,18 @@
         }
     }
 
+    /** The same for a start: a file that is there and can't be read is an {@link IOException}, which may pass. */
+    static Config loadForStart(Map<String, String> environment) throws BadConfigException, IOException {
+        try {
+            return load(environment);
+        } catch (BadConfigException e) {
+            if (e.fault() == Fault.UNREADABLE && Files.exists(Path.of(environment.get(FILE)))) {
+                throw new IOException(e.getMessage(), e);
+            }
+            throw e;
+        }
+    }
+
     static Config of(JsonNode root) throws BadConfigException {
         if (!root.path("settings").isObject()) {
             throw new BadConfigException("settings: missing, or no object");
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -1,6 +1,7 @@
 package gradehub.node;
 
 import gradehub.LoadShiftingBalancer;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -60,22 +61,37 @@
         }
         try {
             ReloadSignal signal = new ReloadSignal();
-            Config config = Config.load(environment);
+            StartRetry retry = new StartRetry();
+            Config config = retry.until("reading the configuration", () -> Config.loadForStart(environment));
             Rehearsal.tryIt();
-            Sidecar sidecar = create(config);
+            Sidecar sidecar = retry.until("opening the event loop", () -> createForStart(config));
             signal.onSignal(() -> sidecar.reload(environment));
             System.gc(); // else the first collection in service copies all that the start has left
-            sidecar.listen(config, new Thread(sidecar::stopAndExit, "stop"));
+            onSigterm(new Thread(sidecar::stopAndExit, "stop"));
+            retry.until("listening", () -> sidecar.listen(config));
             LOG.log(System.Logger.Level.INFO, "listening on " + sidecar.address());
         } catch (Config.BadConfigException e) {
             System.err.println("gradehub: " + e.getMessage());
             System.exit(2);
         } catch (IOException e) {
             System.err.println("gradehub: listen: " + e.getMessage());
-            System.exit(1);
+            fail();
         } catch (RuntimeException | ReflectiveOperationException e) {
             LOG.log(System.Logger.Level.ERROR, "can't start", e); // the event loop alone would keep the process up
-            System.exit(1);
+            fail();
+        }
+    }
+
+    /** Without the hook of SIGTERM, which would end the program as if all were well. */
+    private static void fail() {
+        Runtime.getRuntime().halt(1);
+    }
+
+    private static Sidecar createForStart(Config config) throws IOException {
+        try {
+            return create(config);
+        } catch (ChannelException | IllegalStateException e) {
+            throw new IOException(e.getMessage(), e); // for want of descriptors
         }
     }
 
@@ -99,23 +115,18 @@
                 .getNow();
     }
 
-    /** From the first request on SIGTERM lets what was taken be answered: {@code onStop} is there before it comes. */
-    private void listen(Config config, Thread onStop) throws InterruptedException, IOException {
-        Runtime.getRuntime().addShutdownHook(onStop);
-        try {
-            listen(config);
-        } catch (IOException e) {
-            Runtime.getRuntime().removeShutdownHook(onStop); // it would end the program as if all were well
-            throw e;
-        }
+    /** From the first request on SIGTERM lets what was taken be answered: the hook is there before it comes. */
+    private static void onSigterm(Thread stop) {
+        Runtime.getRuntime().addShutdownHook(stop);
     }
 
-    void listen(Config config) throws InterruptedException, IOException {
+    SocketAddress listen(Config config) throws InterruptedException, IOException {
         ChannelFuture bound = clients.bind(config.listen()).await();
         if (!bound.isSuccess()) {
-            throw new IOException("can't listen on " + config.listen(), bound.cause());
+            throw new IOException("can't listen on " + config.listen() + ": " + bound.cause(), bound.cause());
         }
         address = bound.channel().localAddress();
+        return address;
     }
 
     EventLoop loop() {
@@ -171,7 +182,7 @@
     void stop() throws InterruptedException {
         loop.schedule(
                 () -> {
-                    endConnections();
+                    GuardedTask.run("ending connections", this::endConnections);
                     loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
                 },
                 GOES_ON_MS,
@@ -193,7 +204,7 @@
     }
 
     void stopListening() {
-        clients.stopListening();
+        GuardedTask.run("closing the listener", clients::stopListening);
         endWhenAnswered(LAST_BYTES_MS);
     }
 
