Ask discovery at the start of a process, and listen once it has answered

Cause: Sidecar.main listened as soon as it could, with the list of its configuration, which is as old as the last run; it called discovery for the first time just before that. n48 listened at 18.34, sent by version 0 of the list from 18.329 on, and had version 5 at 18.986. Change: the sidecar is made, and so discovery called, before the rehearsal, which takes seconds in which discovery can answer or be called again; the listener opens once a list has come. Where discovery does not answer, it opens after 9 s of the 10 s in which a restarted process has to be ready. Evidence: StartFaultIT.aRestartedSidecarDoesNotServeByItsOldListBeforeDiscoveryHasAnswered, red before.

--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -55,6 +56,9 @@
     /** The latest list from this address, or -1: another address may count in its own way. */
     private long revision = -1;
 
+    /** Open until discovery itself has told a list. */
+    private final CountDownLatch answered = new CountDownLatch(1);
+
     private boolean listed;
     private boolean watching;
     private Call watch;
@@ -92,6 +96,20 @@
         }
     }
 
+    /**
+     * Waits, on another thread than the event loop, until discovery has told a list, for this long at the most. The list
+     * that the configuration has may name upstreams that went while the sidecar was down.
+     */
+    void awaitAnswer(long longestMs) throws InterruptedException {
+        if (answered.getCount() == 0) {
+            return;
+        }
+        LOG.log(System.Logger.Level.INFO, "waiting for the list of discovery");
+        if (!answered.await(longestMs, TimeUnit.MILLISECONDS)) {
+            LOG.log(System.Logger.Level.WARNING, "discovery has not answered; starting with the list that is known");
+        }
+    }
+
     boolean hasList() {
         return listed;
     }
@@ -290,6 +308,7 @@
             whole = true;
             revision = update.revision();
             accept(update, update.complete() ? ListKind.FULL : ListKind.DELTA);
+            answered.countDown();
         }
 
         @Override
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.SocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -28,6 +29,8 @@
             (long) (ClientConnection.LAST_REQUEST_MS + ClientConnection.DRAIN_MS) + 200;
 
     private static final long LOOK_MS = 10;
+    /** Of the 10 s in which a restarted process has to be ready: until then the start waits for discovery. */
+    private static final long LIST_MS = 9_000;
 
     private final EventLoop loop;
     private final Engine engine;
@@ -63,10 +66,11 @@
             ReloadSignal signal = new ReloadSignal();
             StartRetry retry = new StartRetry();
             Config config = retry.until("reading the configuration", () -> Config.loadForStart(environment));
-            Rehearsal.tryIt();
             Sidecar sidecar = retry.until("opening the event loop", () -> createForStart(config));
             signal.onSignal(() -> sidecar.reload(environment));
+            Rehearsal.tryIt(); // while discovery answers
             System.gc(); // else the first collection in service copies all that the start has left
+            sidecar.discovery.awaitAnswer(longestListMs());
             onSigterm(new Thread(sidecar::stopAndExit, "stop"));
             retry.until("listening", () -> sidecar.listen(config));
             LOG.log(System.Logger.Level.INFO, "listening on " + sidecar.address());
@@ -87,6 +91,11 @@
         Runtime.getRuntime().halt(1);
     }
 
+    /** What is left of the time in which a start waits for discovery. */
+    private static long longestListMs() {
+        return Math.max(0, LIST_MS - ManagementFactory.getRuntimeMXBean().getUptime());
+    }
+
     private static Sidecar createForStart(Config config) throws IOException {
         try {
             return create(config);
