Count a start from when it was told where the wall clocks can't agree

After a step of either, a start that is news lies an hour ago, and slow start is skipped (failback), or in the future, and slow start lasts as long as the step. Change: the start of a member that is news is taken as told only where its age is between 0 and the silence of discovery plus 2 s; else it counts from when it was told. The first list of a process is taken as told. Steps under some two seconds, and a clock that was already wrong when the process started, remain: docs/SYSTEM-CALLS.md.

--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -59,6 +59,10 @@
     /** Open until discovery itself has told a list. */
     private final CountDownLatch answered = new CountDownLatch(1);
 
+    /** When a list was last told, or a watch that had told one was heard; none yet where {@link #heard} is false. */
+    private long lastHeardNanos;
+
+    private boolean heard;
     private boolean listed;
     private boolean watching;
     private Call watch;
@@ -151,7 +155,13 @@
 
     private void accept(Update update, ListKind kind) {
         listed = true;
-        engine.upstreams(kind, update);
+        double silentMs = heard ? (System.nanoTime() - lastHeardNanos) / 1e6 : Double.POSITIVE_INFINITY;
+        engine.upstreams(kind, update, silentMs);
+    }
+
+    private void heardNow() {
+        heard = true;
+        lastHeardNanos = System.nanoTime();
     }
 
     private void ended(Call call) {
@@ -284,6 +294,9 @@
             try {
                 if (!isStale()) {
                     lists.read(content.content());
+                    if (whole) {
+                        heardNow();
+                    }
                     if (last && !lists.isComplete()) {
                         throw new IOException("its end is missing");
                     }
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -87,6 +87,7 @@
     private final Balancer balancer;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<String, Integer> memberIds = new HashMap<>();
+    private final StartTimes starts = new StartTimes();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean telling;
     private Lists lists;
@@ -201,8 +202,11 @@
         });
     }
 
-    /** An upstream that is to be sent to is known here before the module hears of it; one that is not, after. */
-    void upstreams(ListKind kind, Update update) {
+    /**
+     * A list, where discovery had last been heard so long before. An upstream that is to be sent to is known here before
+     * the module hears of it; one that is not, after.
+     */
+    void upstreams(ListKind kind, Update update, double silentMs) {
         Map<Boolean, List<Member>> byReady =
                 update.members().stream().collect(Collectors.partitioningBy(member -> member.status() == Status.READY));
         Set<Integer> named = new HashSet<>();
@@ -213,7 +217,7 @@
             entries.add(new Upstream(
                     id,
                     member.status(),
-                    member.startedMs(),
+                    starts.startedMs(member.id(), member.startedMs(), clock.nowMs(), silentMs),
                     member.zone(),
                     member.kind(),
                     member.cell(),
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -152,7 +152,8 @@
             String list = Rig.list(1, true, Rig.member("u1", Rig.address(rig.listener()), "leaving"));
             MemberReader reader = Config.of(rig.config(null)).members();
             MemberReader.Update update = reader.read(Config.JSON.readTree(list));
-            loop.submit(() -> engine.upstreams(Balancer.ListKind.FULL, update)).get();
+            loop.submit(() -> engine.upstreams(Balancer.ListKind.FULL, update, 0))
+                    .get();
             assertEquals(503, ask(engine, 30_000).status());
             assertEquals(List.of(Outcome.CONNECT_FAILED), ends);
         }
