Let in who waits before the listener closes, also where accept fails just then

What callers saw: a connection that came while accept failed, up to 0.6 s after SIGTERM, was reset by the listener's close, and what it had sent was lost. Cause: the last accept before the close was made once; its failure was logged, and the listener closed. Change: it is repeated every 10 ms, 50 times at the most.

--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -17,6 +17,7 @@
 
     private final IntSupplier room;
     private final RateLimitedLog failures = new RateLimitedLog();
+
     private boolean pausing;
     /** Accepted, but not set up yet because that failed. */
     private SocketChannel unprepared;
@@ -75,18 +76,24 @@
         }
     }
 
-    /** Accepts those that wait, up to this many: the listener's close would reset them, and what they have sent. */
-    void acceptAll(int most) {
+    /**
+     * Accepts those that wait, up to this many: the listener's close would reset them, and what they have sent. Returns
+     * false where that failed and some may still wait.
+     */
+    boolean acceptAll(int most) {
+        boolean accepts = true;
         List<Object> waiting = new ArrayList<>();
         try {
             accept(waiting, most);
         } catch (IOException | ChannelException e) {
             failures.warn("can't accept what waits: " + e.getMessage());
+            accepts = false;
             pause();
         }
         for (Object client : waiting) {
             pipeline().fireChannelRead(client);
         }
+        return accepts;
     }
 
     @Override
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -99,10 +99,13 @@
         keeper.all().forEach(connection -> connection.endIfIdle(clock.nowMs()));
     }
 
-    /** By now new connections no longer come: those that do have been waiting, and are let in before. */
+    /** By now new connections no longer come. Lets in those that wait; returns false where some may still wait. */
+    boolean acceptWaiting() {
+        return listener == null || listener.acceptAll(sockets.roomForClients());
+    }
+
     void stopListening() {
         if (listener != null) {
-            listener.acceptAll(sockets.roomForClients());
             listener.close();
         }
     }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -29,6 +29,8 @@
             (long) (ClientConnection.LAST_REQUEST_MS + ClientConnection.DRAIN_MS) + 200;
 
     private static final long LOOK_MS = 10;
+    /** How often, a look apart, those that wait are accepted before the listener closes, where that fails. */
+    private static final int LAST_ACCEPTS = 50;
     /** Of the 10 s in which a restarted process has to be ready: until then the start waits for discovery. */
     private static final long LIST_MS = 9_000;
 
@@ -213,6 +215,15 @@
     }
 
     void stopListening() {
+        acceptAndStopListening(LAST_ACCEPTS);
+    }
+
+    /** A failed accept is repeated, since those that wait would be reset by the listener's close. */
+    private void acceptAndStopListening(int accepts) {
+        if (!clients.acceptWaiting() && accepts > 1) {
+            loop.schedule(() -> acceptAndStopListening(accepts - 1), LOOK_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         GuardedTask.run("closing the listener", clients::stopListening);
         endWhenAnswered(LAST_BYTES_MS);
     }
--- a/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
@@ -202,6 +202,25 @@
         }
     }
 
+    /** A client that came while accept failed, up to the listener's close after SIGTERM, was reset. */
+    @Test
+    void whoWaitsWhileAcceptFailsIsServedBeforeTheListenerCloses() throws Exception {
+        int lastTries = 15; // more than there are from the end of resting connections to the listener's close
+        try (Wire resting = sidecar.client()) {
+            assertEquals(200, resting.send(Rig.get(Rig.id(1))).read().status());
+            faults.set(Call.ACCEPT, Error.ENFILE, 100);
+            try (Wire client = sidecar.client()) {
+                client.send(Rig.get(Rig.id(2), LONGEST_ANSWER_MS));
+                sidecar.signal("TERM");
+                assertTrue(resting.ends());
+                faults.awaitInjected(Call.ACCEPT, faults.injected(Call.ACCEPT) + lastTries, sidecar.process());
+                faults.clear(Call.ACCEPT);
+                assertEquals(200, client.read().status());
+            }
+        }
+        assertTrue(sidecar.process().waitFor(STOP_MS, TimeUnit.MILLISECONDS), () -> "SIGTERM does not end it" + log());
+    }
+
     /** Without a pause the event loop would spin, and serve nobody else the while. */
     @Test
     void acceptingThatFailsDoesNotSpin() throws Exception {
