Read the configuration at each SIGHUP; only a repeat gives way to a newer one

Two signals close together could be read once. Also the error of a failed start no longer names listening alone.

--- a/sidecar/src/main/java/gradehub/node/ReloadSignal.java
+++ b/sidecar/src/main/java/gradehub/node/ReloadSignal.java
@@ -59,7 +59,8 @@
     private void read(int signal, long pauseMs) {
         reading.schedule(
                 () -> {
-                    if (signal == signals && !reload.getAsBoolean()) {
+                    boolean isRetry = pauseMs > 0;
+                    if ((!isRetry || signal == signals) && !reload.getAsBoolean()) {
                         read(signal, Math.min(LONGEST_PAUSE_MS, Math.max(FIRST_PAUSE_MS, 2 * pauseMs)));
                     }
                 },
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -80,7 +80,7 @@
             System.err.println("gradehub: " + e.getMessage());
             System.exit(2);
         } catch (IOException e) {
-            System.err.println("gradehub: listen: " + e.getMessage());
+            System.err.println("gradehub: " + e.getMessage());
             fail();
         } catch (RuntimeException | ReflectiveOperationException e) {
             LOG.log(System.Logger.Level.ERROR, "can't start", e); // the event loop alone would keep the process up
