Let the tests of failing calls fail where no call failed

Read once more: a test of ServiceFaultIT passed also if the library made nothing fail. Each now asserts that calls failed (at a stop, that one failed while a late client came, where the share is 100%). That showed one that could not fail: no line was logged while the log failed; it has a test of its own, which logs a wrong configuration. Test sources alone; the class ran whole once with one failure (that one), and its changed tests once more, green.

--- a/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
@@ -110,7 +110,6 @@
         "READ, SHORT_TRANSFER, 100",
         "WRITE, SHORT_TRANSFER, 100",
         "EPOLL_WAIT, EINTR, 50",
-        "LOG, ENOSPC, 100",
         "CLOSE, EINTR, 50",
         "CLOSE, EIO, 50"
     })
@@ -118,6 +117,20 @@
         faults.set(call, error, percent);
         List<Integer> statuses = askAll();
         faults.clear(call);
+        assertTrue(faults.injected(call) > 0, "calls failed");
+        assertTrue(isServed(statuses), statuses + log());
+        assertTrue(sidecar.endsBySigterm(STOP_MS), "SIGTERM ends it");
+    }
+
+    /** A log on a full disk must not stop what is logged about. */
+    @Test
+    void aLogThatCannotBeWrittenCostsNoAnswer() throws Exception {
+        faults.set(Call.LOG, Error.ENOSPC, 100);
+        Files.writeString(sidecar.config(), "{}");
+        sidecar.signal("HUP"); // a wrong configuration is logged
+        faults.awaitInjected(Call.LOG, 1, sidecar.process());
+        List<Integer> statuses = askAll();
+        faults.clear(Call.LOG);
         assertTrue(isServed(statuses), statuses + log());
         assertTrue(sidecar.endsBySigterm(STOP_MS), "SIGTERM ends it");
     }
@@ -150,6 +163,7 @@
         faults.set(call, error, percent);
         List<Integer> during = askAll();
         faults.clear(call);
+        assertTrue(faults.injected(call) > 0, "calls failed");
         assertTrue(!clientsStay || !during.contains(0), () -> "each has an answer: " + during + log());
         List<Integer> after = askAll();
         for (int round = 0; round < RECOVERY_ROUNDS && !isServed(after); round++) {
@@ -179,7 +193,16 @@
         try (Wire resting = sidecar.client()) {
             assertEquals(200, resting.send(Rig.get(Rig.id(1))).read().status());
             faults.set(call, error, percent);
-            assertTrue(sidecar.endsBySigterm(STOP_MS), () -> "SIGTERM does not end it");
+            sidecar.signal("TERM");
+            try (Wire late = sidecar.client()) {
+                late.send(Rig.get(Rig.id(2)));
+                if (percent == 100) {
+                    faults.awaitInjected(call, 1, sidecar.process());
+                }
+                assertTrue(
+                        sidecar.process().waitFor(STOP_MS, TimeUnit.MILLISECONDS),
+                        () -> "SIGTERM does not end it" + log());
+            }
             assertEquals(0, sidecar.process().exitValue());
         }
     }
