Register a channel anew when the selector does not tell of what is ready

Sockets with unread bytes for over 0.4 s (121 bytes, a client's request; 55 bytes, an upstream's answer) were in no epoll set, one of them for 3.1 s. The runtime's selector ignores the result of epoll_ctl and notes the interest as registered, so it never tries again. The 503s are of the same cause: a connect whose registration was lost is only ended by its time-out.

Change: each channel with a registration that is not proven (a connect or output under way, or no event told since the interest last changed) is checked every 40 ms on the event loop. What a check finds ready is dealt with at once, and the interest is withdrawn for one turn and stated again, which is what makes the selector call epoll_ctl again. A selector that the event loop opens in place of another one puts all channels in doubt again. A channel that has been heard costs nothing. Nobody is closed.

--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -1,6 +1,8 @@
 package gradehub.node;
 
 import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
@@ -21,6 +23,12 @@
     private boolean pausing;
     /** Accepted, but not set up yet because that failed. */
     private SocketChannel unprepared;
+    /** From when it is registered with an event loop. */
+    private RegistrationWatch registrationWatch;
+    /** Whether it accepts though the selector has not told of a client. */
+    private boolean untold;
+    /** Whether a client was accepted though the selector had not told of one. */
+    private boolean foundUntold;
 
     /** Accepts as many clients at once as there is {@code room} for. */
     ClientListener(IntSupplier room) {
@@ -31,15 +39,48 @@
     @Override
     protected int doReadMessages(List<Object> accepted) {
         int before = accepted.size();
+        if (!untold) {
+            registrationWatch.heard();
+        }
         try {
             accept(accepted, Math.max(1, room.getAsInt()));
         } catch (IOException | ChannelException e) {
             failures.warn("can't accept: " + e.getMessage());
             pause();
         }
+        foundUntold |= untold && accepted.size() > before;
         return accepted.size() - before;
     }
 
+    @Override
+    protected void doRegister(ChannelPromise promise) {
+        registrationWatch = new RegistrationWatch(this, this::registration, this::check);
+        super.doRegister(promise);
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        boolean registers = !registrationWatch.wants(NioIoOps.ACCEPT);
+        super.doBeginRead();
+        if (registers) {
+            registrationWatch.changed();
+        }
+    }
+
+    /** Accepts who waits though the selector has not told of a client. */
+    private void check(NioIoOps interest) {
+        untold = true;
+        foundUntold = false;
+        try {
+            unsafe().read();
+        } finally {
+            untold = false;
+        }
+        if (foundUntold) {
+            registrationWatch.renew("listening");
+        }
+    }
+
     private void accept(List<Object> accepted, int most) throws IOException {
         for (int count = 0; count < most; count++) {
             if (unprepared == null) {
@@ -101,6 +142,9 @@
         if (unprepared != null) {
             unprepared.close();
         }
+        if (registrationWatch != null) {
+            registrationWatch.closed();
+        }
         super.doClose();
     }
 }
--- a/sidecar/src/main/java/gradehub/node/LookingChannel.java
+++ b/sidecar/src/main/java/gradehub/node/LookingChannel.java
@@ -2,8 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
 
 /**
@@ -25,6 +29,15 @@
 
     private ByteBuf ahead;
     private boolean ended;
+    /** From when it is registered with an event loop. */
+    private RegistrationWatch registrationWatch;
+    /** Whether it is being read though the selector has not told of input. */
+    private boolean untold;
+
+    /** Whether a check has found the connect over, before the event loop has dealt with it. */
+    private boolean foundConnected;
+
+    private IOException connectFailure;
 
     /** For a connection that is to be opened. */
     LookingChannel() {}
@@ -91,14 +104,115 @@
     private void readAhead() {
         eventLoop().execute(() -> {
             if (ahead != null && isOpen() && config().isAutoRead()) {
-                unsafe().read();
+                readUntold();
             }
         });
     }
 
+    // ---- What the selector may keep from it.
+
+    @Override
+    protected void doRegister(ChannelPromise promise) {
+        registrationWatch = new RegistrationWatch(this, this::registration, this::check);
+        super.doRegister(promise);
+    }
+
+    @Override
+    protected boolean doConnect(SocketAddress remote, SocketAddress local) throws Exception {
+        boolean connected = super.doConnect(remote, local);
+        if (!connected) {
+            registrationWatch.changed();
+        }
+        return connected;
+    }
+
+    @Override
+    protected void doFinishConnect() throws Exception {
+        if (connectFailure != null) {
+            throw connectFailure;
+        }
+        foundConnected = false;
+        super.doFinishConnect();
+    }
+
+    /** It becomes active in the event loop's own step, which tells its handlers of the change. */
+    @Override
+    public boolean isActive() {
+        return !foundConnected && super.isActive();
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer output) throws Exception {
+        super.doWrite(output);
+        if (registrationWatch.wants(NioIoOps.WRITE)) {
+            registrationWatch.changed();
+        }
+    }
+
+    private void check(NioIoOps interest) {
+        if (interest.contains(NioIoOps.CONNECT)) {
+            checkConnect();
+            return;
+        }
+        if (interest.contains(NioIoOps.WRITE)) {
+            checkWrite();
+        }
+        if (interest.contains(NioIoOps.READ)) {
+            checkRead();
+        }
+    }
+
+    private void checkConnect() {
+        try {
+            foundConnected = javaChannel().finishConnect();
+        } catch (IOException e) {
+            connectFailure = e;
+        }
+        if (foundConnected) {
+            removeAndSubmit(NioIoOps.CONNECT);
+        }
+        if (foundConnected || connectFailure != null) {
+            unsafe().finishConnect();
+            registrationWatch.renew("connecting");
+        }
+    }
+
+    private void checkWrite() {
+        ChannelOutboundBuffer output = unsafe().outboundBuffer();
+        long before = output.totalPendingWriteBytes();
+        unsafe().forceFlush();
+        if (output.totalPendingWriteBytes() < before) {
+            registrationWatch.renew("writing");
+        }
+    }
+
+    private void checkRead() {
+        if (isQuiet()) {
+            return;
+        }
+        readUntold();
+        registrationWatch.renew("reading");
+    }
+
+    /** Reads though the selector has not told of input. */
+    private void readUntold() {
+        untold = true;
+        try {
+            unsafe().read();
+        } finally {
+            untold = false;
+        }
+    }
+
+    // ---- Reading.
+
     @Override
     protected void doBeginRead() throws Exception {
+        boolean registers = !registrationWatch.wants(NioIoOps.READ);
         super.doBeginRead();
+        if (registers) {
+            registrationWatch.changed();
+        }
         if (ahead != null) {
             readAhead();
         }
@@ -106,6 +220,9 @@
 
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
+        if (!untold) {
+            registrationWatch.heard();
+        }
         if (ahead == null) {
             int read = super.doReadBytes(into);
             return read < END ? 0 : read; // an interrupted read: the selector tells of the input again
@@ -125,6 +242,9 @@
             ahead.release();
             ahead = null;
         }
+        if (registrationWatch != null) {
+            registrationWatch.closed();
+        }
         super.doClose();
     }
 }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -119,7 +119,8 @@
 
     /** The same, with another source of sockets to connect with. */
     static Sidecar create(Config config, Supplier<LookingChannel> opened) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(new ObservedSelectorProvider()));
         EventLoop loop = group.next();
         return loop.submit(() -> new Sidecar(loop, config, opened))
                 .syncUninterruptibly()
--- a/sidecar/src/test/java/gradehub/node/SyscallFaults.java
+++ b/sidecar/src/test/java/gradehub/node/SyscallFaults.java
@@ -39,6 +39,7 @@
         SHORT_TRANSFER(-1),
         EINTR(4),
         EIO(5),
+        EAGAIN(11),
         ENOMEM(12),
         EINVAL(22),
         ENFILE(23),
