Archive each class and lambda by force, and fail the build where one is missing

(a) The training run wrote a configuration of no use, waited 20 ms and replaced it: a busy builder read only the second. (b) LookingChannel made its lambdas on paths that need a look to come between input and the event loop's own read; most archives had one of its two, one archive had both, one none. A comparison of the archives with the jar showed nine more classes with lambdas that no training run ever linked.

Change: the training run loads each serving class by its name; the configurations are named pipes, which hold the training run until the sidecar reads; lambdas of rare paths are made once, at construction, or are plain loops now. A run that fails or takes over 5 minutes ends the build.

--- a/sidecar/src/main/java/gradehub/Balancer.java
+++ b/sidecar/src/main/java/gradehub/Balancer.java
@@ -270,10 +270,6 @@
         double shortestAimMs() {
             return classes.stream().mapToDouble(RequestClass::aimMs).min().orElseThrow();
         }
-
-        double longestAimMs() {
-            return classes.stream().mapToDouble(RequestClass::aimMs).max().orElseThrow();
-        }
     }
 
     private static void require(boolean holds, String what) {
--- a/sidecar/src/main/java/gradehub/Main.java
+++ b/sidecar/src/main/java/gradehub/Main.java
@@ -1,6 +1,7 @@
 package gradehub;
 
 import gradehub.benchlink.BenchLink;
+import gradehub.node.ArchiveCheck;
 import gradehub.node.ArchiveRun;
 import gradehub.node.Sidecar;
 import java.io.FileDescriptor;
@@ -12,7 +13,7 @@
 
 /**
  * {@code serve} runs the sidecar on sockets, {@code benchlink} plays the simulator's wire on standard streams, and
- * {@code archive} is a part of the build: see {@link ArchiveRun}.
+ * {@code archive} and {@code check-archive} are parts of the build: see {@link ArchiveRun} and {@link ArchiveCheck}.
  */
 public final class Main {
 
@@ -21,7 +22,7 @@
 
     private Main() {}
 
-    /** Runs the command that the only argument names; ends with status 2 for any other arguments. */
+    /** Runs the command that the first argument names; ends with status 2 for any other arguments. */
     public static void main(String[] args) throws Exception {
         // Before Netty is loaded: it would set them up on the event loop, at the first chunk that it lets go.
         System.setProperty(NETTY_RECORDER_EVENTS, "false");
@@ -31,6 +32,8 @@
             benchlink();
         } else if (args.length == 1 && args[0].equals("archive")) {
             ArchiveRun.main();
+        } else if (args.length == 3 && args[0].equals("check-archive")) {
+            ArchiveCheck.main(args[1], args[2]);
         } else {
             System.err.println("usage: java -jar gradehub.jar serve|benchlink|archive, not " + Arrays.toString(args));
             System.exit(2);
--- a/sidecar/src/main/java/gradehub/SettingsReader.java
+++ b/sidecar/src/main/java/gradehub/SettingsReader.java
@@ -34,14 +34,14 @@
     /** Settings as path=value lines, where a list of objects has its length under .count and its items by number. */
     public static SettingsReader ofLines(String text) {
         Map<String, String> values = new HashMap<>();
-        text.lines().forEach(line -> {
+        for (String line : text.lines().toList()) {
             int split = line.indexOf('=');
             if (split > 0) {
                 values.put(
                         line.substring(0, split).trim(),
                         line.substring(split + 1).trim());
             }
-        });
+        }
         return new SettingsReader(values);
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/gradehub/node/ArchiveCheck.java
@@ -0,0 +1,129 @@
+package gradehub.node;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.jar.JarFile;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.spi.ToolProvider;
+
+/**
+ * The last step of the build: compares the class archive with the jar. Each class that serves has to be in it, and each
+ * place in one that makes a lambda has to have been linked, or the training run has not come by it.
+ */
+public final class ArchiveCheck {
+
+    /** What runs in the build or the simulator alone. */
+    private static final Pattern NOT_SERVING =
+            Pattern.compile("gradehub\\.(benchlink\\..*|Main|node\\.(Training|Archive)[^.]*|.*package-info)");
+
+    private static final Pattern ARCHIVED = Pattern.compile("^ *\\d+: (gradehub\\.[^ ]+) app_loader.*");
+    private static final Pattern LAMBDA_HOST = Pattern.compile("(gradehub\\.[^ ]+?)\\$\\$Lambda.*");
+    private static final Pattern DISASSEMBLED_CLASS =
+            Pattern.compile("^(?:[a-z]+ )*(?:class|interface|enum) (gradehub\\.[^ <]+).*\\{$");
+    /** The methods of records are linked in this way too, and stay so: nothing that serves calls them. */
+    private static final Pattern LAMBDA_SITE =
+            Pattern.compile(".*invokedynamic.*InvokeDynamic #\\d+:(?!toString:|hashCode:|equals:).*");
+
+    private ArchiveCheck() {}
+
+    /** Ends with status 1, and says what is missing, where the archive of the second argument is not whole. */
+    public static void main(String jar, String archive) throws IOException, InterruptedException {
+        List<String> missing = missing(jar, archive);
+        missing.forEach(line -> System.err.println("not in the class archive: " + line));
+        System.exit(missing.isEmpty() ? 0 : 1);
+    }
+
+    private static List<String> missing(String jar, String archive) throws IOException, InterruptedException {
+        Map<String, Integer> lambdas = new HashMap<>();
+        List<String> archived = archived(jar, archive);
+        for (String name : archived) {
+            Matcher lambda = LAMBDA_HOST.matcher(name);
+            if (lambda.matches()) {
+                lambdas.merge(lambda.group(1), 1, Integer::sum);
+            }
+        }
+        List<String> missing = new ArrayList<>();
+        lambdaSites(jar, servingClasses(jar)).forEach((name, sites) -> {
+            int linked = lambdas.getOrDefault(name, 0);
+            if (!archived.contains(name)) {
+                missing.add(name);
+            } else if (linked < sites) {
+                missing.add((sites - linked) + " of " + sites + " lambdas of " + name);
+            }
+        });
+        return missing;
+    }
+
+    /** The names of the classes that a sidecar may need while it serves. */
+    static List<String> servingClasses(String jar) throws IOException {
+        try (JarFile file = new JarFile(jar)) {
+            return file.stream()
+                    .map(entry -> entry.getName())
+                    .filter(name -> name.startsWith("gradehub/") && name.endsWith(".class"))
+                    .map(name ->
+                            name.substring(0, name.length() - ".class".length()).replace('/', '.'))
+                    .filter(name -> !NOT_SERVING.matcher(name).matches())
+                    .toList();
+        }
+    }
+
+    /** How many places in each class make a lambda. */
+    private static Map<String, Integer> lambdaSites(String jar, List<String> classes) {
+        List<String> arguments = new ArrayList<>(List.of("-p", "-c", "-cp", jar));
+        arguments.addAll(classes);
+        StringWriter text = new StringWriter();
+        PrintWriter out = new PrintWriter(text);
+        ToolProvider disassembler = ToolProvider.findFirst("javap").orElseThrow();
+        int status = disassembler.run(out, out, arguments.toArray(new String[0]));
+        if (status != 0) {
+            throw new IllegalStateException(text.toString());
+        }
+        Map<String, Integer> sites = new TreeMap<>();
+        String inClass = "";
+        for (String line : text.toString().lines().toList()) {
+            Matcher begins = DISASSEMBLED_CLASS.matcher(line);
+            if (begins.matches()) {
+                inClass = begins.group(1);
+                sites.put(inClass, 0);
+            } else if (LAMBDA_SITE.matcher(line).matches()) {
+                sites.merge(inClass, 1, Integer::sum);
+            }
+        }
+        return sites;
+    }
+
+    /** The names of the archive's classes, by the virtual machine's own list. */
+    private static List<String> archived(String jar, String archive) throws IOException, InterruptedException {
+        Process listing = new ProcessBuilder(
+                        "java",
+                        "-XX:SharedArchiveFile=" + archive,
+                        "-XX:+UseSerialGC",
+                        "-XX:+PrintSharedArchiveAndExit",
+                        "-jar",
+                        jar)
+                .redirectErrorStream(true)
+                .start();
+        List<String> archived = new ArrayList<>();
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(listing.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                Matcher entry = ARCHIVED.matcher(line);
+                if (entry.matches()) {
+                    archived.add(entry.group(1));
+                }
+            }
+        }
+        listing.waitFor();
+        return archived;
+    }
+}
--- a/sidecar/src/main/java/gradehub/node/ArchiveRun.java
+++ b/sidecar/src/main/java/gradehub/node/ArchiveRun.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The training run of the build: the virtual machine archives the classes that it has loaded and the lambdas that it
@@ -12,10 +13,43 @@
  */
 public final class ArchiveRun {
 
+    private static final int NO_UPSTREAM = -1;
+    /** It takes half a minute; the rest is for a busy builder. */
+    private static final long LONGEST_MINUTES = 5;
+
     private ArchiveRun() {}
 
-    /** Ends the process, as SIGTERM ends a sidecar. */
-    public static void main() throws IOException, InterruptedException, ExecutionException, Config.BadConfigException {
+    /** Ends the process: as SIGTERM ends a sidecar, or with status 1 where it fails or comes to no end. */
+    public static void main() {
+        Thread watchdog = new Thread(ArchiveRun::failWhenOverdue, "watchdog");
+        watchdog.setDaemon(true);
+        watchdog.start();
+        try {
+            train();
+        } catch (Exception e) {
+            fail("failed: " + e);
+        }
+    }
+
+    private static void failWhenOverdue() {
+        try {
+            TimeUnit.MINUTES.sleep(LONGEST_MINUTES);
+            fail("has not ended after " + LONGEST_MINUTES + " minutes");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The sidecars that are still up would keep the process. */
+    private static void fail(String what) {
+        System.err.println("gradehub: the training run " + what);
+        Runtime.getRuntime().halt(1);
+    }
+
+    private static void train()
+            throws IOException, InterruptedException, ExecutionException, ClassNotFoundException,
+                    Config.BadConfigException {
+        loadServingClasses();
         Path folder = Files.createTempDirectory("training");
         long pid = ProcessHandle.current().pid();
         TrainingSession pushed = new TrainingSession(TrainingSession.Membership.PUSH, folder);
@@ -26,9 +60,27 @@
             Sidecar sidecar = Sidecar.start(Config.load(asked.environment()));
             asked.awaitReady();
             asked.play();
+            takeUnusedPaths(sidecar);
             sidecar.halt();
         }
         pushed.reload(pid);
         TrainingSession.signal(pid, "TERM");
     }
+
+    /** What no peer of the training run can bring about. */
+    private static void takeUnusedPaths(Sidecar sidecar) throws InterruptedException, ExecutionException {
+        Engine engine = sidecar.engine();
+        sidecar.loop()
+                .submit(() -> {
+                    engine.probe(NO_UPSTREAM);
+                    engine.listFailed();
+                })
+                .get();
+    }
+
+    private static void loadServingClasses() throws IOException, ClassNotFoundException {
+        for (String name : ArchiveCheck.servingClasses(System.getProperty("java.class.path"))) {
+            Class.forName(name);
+        }
+    }
 }
--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -18,6 +18,7 @@
     private static final long PAUSE_MS = 10;
 
     private final IntSupplier room;
+    private final Runnable resumeTask = this::resume; // made once: it would be linked while clients wait
     private final RateLimitedLog failures = new RateLimitedLog();
 
     private boolean pausing;
@@ -99,14 +100,12 @@
     private void pause() {
         pausing = true;
         acceptWhileThereIsRoom();
-        eventLoop()
-                .schedule(
-                        () -> {
-                            pausing = false;
-                            acceptWhileThereIsRoom();
-                        },
-                        PAUSE_MS,
-                        TimeUnit.MILLISECONDS);
+        eventLoop().schedule(resumeTask, PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void resume() {
+        pausing = false;
+        acceptWhileThereIsRoom();
     }
 
     void acceptWhileThereIsRoom() {
--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -193,6 +193,7 @@
         private final ListStream lists;
         private final InetSocketAddress target = address;
         private final LookingChannel channel;
+        private final Runnable endTask = () -> ended(this); // made once: it would be linked while requests wait
         private long heardNanos = System.nanoTime();
         private boolean whole;
         /** Why it ends, where that is known before its connection has closed. */
@@ -203,7 +204,7 @@
             this.lists = new ListStream(this::take);
             this.channel = opened();
             if (channel == null) {
-                loop.execute(() -> ended(this)); // once it is known as the watch
+                loop.execute(endTask); // once it is known as the watch
                 return;
             }
             ChannelFuture connecting = new Bootstrap()
@@ -226,7 +227,7 @@
             });
             channel.closeFuture().addListener(closed -> {
                 calls.warn("a call to discovery at " + target + " has ended: " + end);
-                ended(this);
+                endTask.run();
             });
             checkSilence();
         }
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -159,10 +159,14 @@
     void clientLeft(Exchange exchange) {
         if (!exchange.over) {
             close(exchange);
-            tell(exchange, now -> balancer.clientLeft(now, exchange.id));
+            tellClientLeft(exchange);
         }
     }
 
+    private void tellClientLeft(Exchange exchange) {
+        tell(exchange, now -> balancer.clientLeft(now, exchange.id));
+    }
+
     @Override
     public boolean isWanted(Upstreams.Attempt attempt) {
         Exchange exchange = attempt.exchange;
@@ -301,8 +305,10 @@
 
     private void abandon(Exchange exchange) {
         finish(exchange, Answer.failed());
-        List.copyOf(exchange.attempts).forEach(attempt -> upstreams.giveUp(attempt, Outcome.CANCELLED));
-        tell(exchange, now -> balancer.clientLeft(now, exchange.id));
+        for (Upstreams.Attempt attempt : List.copyOf(exchange.attempts)) {
+            upstreams.giveUp(attempt, Outcome.CANCELLED);
+        }
+        tellClientLeft(exchange);
     }
 
     // ---- What the module asks for.
--- a/sidecar/src/main/java/gradehub/node/LookingChannel.java
+++ b/sidecar/src/main/java/gradehub/node/LookingChannel.java
@@ -38,6 +38,10 @@
     private boolean foundConnected;
 
     private IOException connectFailure;
+    /** Made once: one that is made on a rare path would be linked while requests wait. */
+    private final Runnable closeTask = this::close;
+
+    private final Runnable readTask = this::readWhatIsAhead;
 
     /** For a connection that is to be opened. */
     LookingChannel() {}
@@ -90,7 +94,7 @@
 
     /** The error has been taken from the socket: the event loop would not come by it. */
     private void closeSoon() {
-        eventLoop().execute(this::close);
+        eventLoop().execute(closeTask);
     }
 
     private void letGo() {
@@ -102,11 +106,13 @@
 
     /** The selector does not tell of what has been taken from the socket already. */
     private void readAhead() {
-        eventLoop().execute(() -> {
-            if (ahead != null && isOpen() && config().isAutoRead()) {
-                readUntold();
-            }
-        });
+        eventLoop().execute(readTask);
+    }
+
+    private void readWhatIsAhead() {
+        if (ahead != null && isOpen() && config().isAutoRead()) {
+            readUntold();
+        }
     }
 
     // ---- What the selector may keep from it.
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -40,7 +40,15 @@
     private final ClientServer clients;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final RateLimitedLog reloadLog = new RateLimitedLog();
+    /** Made once: tasks that are made on a rare path would be linked while requests wait. */
+    private final Runnable stopListening = this::stopListening;
+
+    private final Runnable endWhenAnswered = this::endWhenAnswered;
     private SocketAddress address;
+    /** How often those that wait have been accepted since SIGTERM. */
+    private int lastAccepts;
+    /** How long the end still waits for connections that carry nothing. */
+    private long patienceMs;
 
     private Sidecar(EventLoop loop, Config config, Supplier<LookingChannel> opened) {
         this.loop = loop;
@@ -195,7 +203,7 @@
         loop.schedule(
                 () -> {
                     GuardedTask.run("ending connections", this::endConnections);
-                    loop.schedule(this::stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
+                    loop.schedule(stopListening, LAST_CALL_MS, TimeUnit.MILLISECONDS);
                 },
                 GOES_ON_MS,
                 TimeUnit.MILLISECONDS);
@@ -215,18 +223,16 @@
         clients.endConnections();
     }
 
-    void stopListening() {
-        acceptAndStopListening(LAST_ACCEPTS);
-    }
-
     /** A failed accept is repeated, since those that wait would be reset by the listener's close. */
-    private void acceptAndStopListening(int accepts) {
-        if (!clients.acceptWaiting() && accepts > 1) {
-            loop.schedule(() -> acceptAndStopListening(accepts - 1), LOOK_MS, TimeUnit.MILLISECONDS);
+    void stopListening() {
+        lastAccepts++;
+        if (!clients.acceptWaiting() && lastAccepts < LAST_ACCEPTS) {
+            loop.schedule(stopListening, LOOK_MS, TimeUnit.MILLISECONDS);
             return;
         }
         GuardedTask.run("closing the listener", clients::stopListening);
-        endWhenAnswered(LAST_BYTES_MS);
+        patienceMs = LAST_BYTES_MS;
+        endWhenAnswered();
     }
 
     /** Ends what is overdue, as the sidecar does now and then by itself. */
@@ -238,14 +244,13 @@
      * Each connection ends with its last answer, and one that carries nothing by itself. Only a client that does not
      * read what it is sent is not waited for.
      */
-    private void endWhenAnswered(long patienceMs) {
-        if (engine.inHand() > 0) {
-            loop.schedule(() -> endWhenAnswered(LAST_BYTES_MS), LOOK_MS, TimeUnit.MILLISECONDS);
-        } else if (clients.open() > 0 && patienceMs > 0) {
-            loop.schedule(() -> endWhenAnswered(patienceMs - LOOK_MS), LOOK_MS, TimeUnit.MILLISECONDS);
-        } else {
+    private void endWhenAnswered() {
+        if (engine.inHand() == 0 && (clients.open() == 0 || patienceMs <= 0)) {
             halt();
+            return;
         }
+        patienceMs = engine.inHand() > 0 ? LAST_BYTES_MS : patienceMs - LOOK_MS;
+        loop.schedule(endWhenAnswered, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends the event loop, and with it every connection. */
--- a/sidecar/src/main/java/gradehub/node/TrainingPeers.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingPeers.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The servers that a training run plays to a sidecar on loopback: healthy, unreachable and slow upstreams, and two
@@ -105,9 +106,9 @@
         reached.get(WatchStep.STEADY).await();
     }
 
-    /** Waits until the sidecar asks the second discovery service. */
-    void awaitMove() throws InterruptedException {
-        moved.await();
+    /** Waits until the sidecar asks the second discovery service; returns false where it does not. */
+    boolean awaitMove(long longestMs) throws InterruptedException {
+        return moved.await(longestMs, TimeUnit.MILLISECONDS);
     }
 
     // ---- Sockets.
--- a/sidecar/src/main/java/gradehub/node/TrainingSession.java
+++ b/sidecar/src/main/java/gradehub/node/TrainingSession.java
@@ -2,12 +2,15 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -110,23 +113,39 @@
         return statuses;
     }
 
-    /** Sends the process that runs the sidecar a configuration of no use, and then one with another discovery. */
+    /**
+     * Sends the process that runs the sidecar a configuration of no use, and when it has read that, one with another
+     * discovery. The files are named pipes, which hold the writer until the sidecar reads.
+     */
     void reload(long pid) throws IOException, InterruptedException {
-        Files.writeString(config, "no configuration");
+        placePipe();
         signal(pid, "HUP");
-        Thread.sleep(LOOK_MS);
+        try (OutputStream useless = Files.newOutputStream(config)) {
+            placePipe(); // for the next read, before this one comes to its end
+            useless.write("no configuration".getBytes(StandardCharsets.US_ASCII));
+        }
         writeConfig(peers.secondDiscovery());
-        signal(pid, "HUP");
-        peers.awaitMove();
+        if (!peers.awaitMove(READY_MS)) {
+            throw new IOException("the sidecar did not move to the other discovery");
+        }
+    }
+
+    /** Puts a named pipe in the place of the configuration. */
+    private void placePipe() throws IOException, InterruptedException {
+        Path pipe = config.resolveSibling("pipe");
+        run("mkfifo " + pipe);
+        Files.move(pipe, config, StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** Sends a process a signal of this name. */
     static void signal(long pid, String name) throws IOException, InterruptedException {
-        int status = new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid)
-                .start()
-                .waitFor();
+        run("kill -" + name + " " + pid);
+    }
+
+    private static void run(String command) throws IOException, InterruptedException {
+        int status = new ProcessBuilder("/bin/sh", "-c", command).start().waitFor();
         if (status != 0) {
-            throw new IOException("can't send signal " + name);
+            throw new IOException(command + " ended with status " + status);
         }
     }
 
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -164,7 +164,9 @@
     void closeIdle(int id) {
         Pool pool = pools.get(id);
         if (pool != null) {
-            List.copyOf(pool.idle).forEach(UpstreamConnection::close);
+            for (UpstreamConnection connection : List.copyOf(pool.idle)) {
+                connection.close();
+            }
         }
     }
 
@@ -243,8 +245,12 @@
     /** Whether each idle connection can be used again. */
     boolean haveRested() {
         double sinceMs = clock.nowMs() - REST_MS;
-        return pools.values().stream()
-                .allMatch(pool -> pool.idle.isEmpty() || pool.idle.peekLast().idleSinceMs() <= sinceMs);
+        for (Pool pool : pools.values()) {
+            if (!pool.idle.isEmpty() && pool.idle.peekLast().idleSinceMs() > sinceMs) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Stops waiting for an attempt, if it is still out. A time-out before its last byte went out proves no run. */
