Never let a reader of the log hold the event loop or the stop

Cause: the runtime's console handler writes on the thread that logs, here the event loop, and waits in write(2) under the handler's lock; the stop waits for the event loop, and the runtime's own hook for the lock. That hook also takes away all handlers at SIGTERM, so nothing that was logged while stopping came out.

Change: lines go through a buffer of 1,024 to a thread of its own; what finds no room is dropped, and the count is logged when the reader is back. The log manager keeps its handlers at SIGTERM; the end waits 200 ms at the most for the last lines. "stopping" and "stopped" are logged.

--- a/sidecar/src/main/java/gradehub/Main.java
+++ b/sidecar/src/main/java/gradehub/Main.java
@@ -20,12 +20,16 @@
     /** Netty's switch for the flight recorder events of its allocator. */
     private static final String NETTY_RECORDER_EVENTS = "io.netty.jfr.enabled";
 
+    private static final String LOG_MANAGER = "java.util.logging.manager";
+
     private Main() {}
 
     /** Runs the command that the first argument names; ends with status 2 for any other arguments. */
     public static void main(String[] args) throws Exception {
         // Before Netty is loaded: it would set them up on the event loop, at the first chunk that it lets go.
         System.setProperty(NETTY_RECORDER_EVENTS, "false");
+        // Before the first logger is made, which loads the log manager.
+        System.setProperty(LOG_MANAGER, "gradehub.node.LastingLogManager");
         if (args.length == 1 && args[0].equals("serve")) {
             Sidecar.main(System.getenv());
         } else if (args.length == 1 && args[0].equals("benchlink")) {
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -19,7 +19,10 @@
 public final class Sidecar {
 
     private static final System.Logger LOG = System.getLogger("gradehub");
-    private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
+    private static final int FAILED = 1;
+    private static final int BAD_CONFIGURATION = 2;
+    /** For the last lines of the log to come out, where its reader reads. */
+    private static final long LAST_LINES_MS = 200;
     /** After SIGTERM new connections go on coming for a while; until then all of them are served as ever. */
     private static final long GOES_ON_MS = 500;
     /** Between closing what is idle and closing the listener: what is still under way by then is read. */
@@ -69,9 +72,7 @@
 
     /** Serves until SIGTERM, and then until all that was taken is answered. */
     public static void main(Map<String, String> environment) throws InterruptedException {
-        if (System.getProperty(LOG_FORMAT) == null) {
-            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-        }
+        StandardErrorLog log = StandardErrorLog.install();
         try {
             ReloadSignal signal = new ReloadSignal();
             StartRetry retry = new StartRetry();
@@ -81,24 +82,25 @@
             Rehearsal.tryIt(); // while discovery answers
             System.gc(); // else the first collection in service copies all that the start has left
             sidecar.discovery.awaitAnswer(longestListMs());
-            onSigterm(new Thread(sidecar::stopAndExit, "stop"));
+            onSigterm(new Thread(() -> sidecar.stopAndExit(log), "stop"));
             retry.until("listening", () -> sidecar.listen(config));
             LOG.log(System.Logger.Level.INFO, "listening on " + sidecar.address());
         } catch (Config.BadConfigException e) {
             System.err.println("gradehub: " + e.getMessage());
-            System.exit(2);
+            exit(log, BAD_CONFIGURATION);
         } catch (IOException e) {
             System.err.println("gradehub: " + e.getMessage());
-            fail();
+            exit(log, FAILED);
         } catch (RuntimeException | ReflectiveOperationException e) {
             LOG.log(System.Logger.Level.ERROR, "can't start", e); // the event loop alone would keep the process up
-            fail();
+            exit(log, FAILED);
         }
     }
 
     /** Without the hook of SIGTERM, which would end the program as if all were well. */
-    private static void fail() {
-        Runtime.getRuntime().halt(1);
+    private static void exit(StandardErrorLog log, int status) throws InterruptedException {
+        log.flush(LAST_LINES_MS);
+        Runtime.getRuntime().halt(status);
     }
 
     /** What is left of the time in which a start waits for discovery. */
@@ -190,9 +192,12 @@
     }
 
     /** The virtual machine ends when its hooks do, with the signal's status; this one ends it itself, when done. */
-    private void stopAndExit() {
+    private void stopAndExit(StandardErrorLog log) {
         try {
+            LOG.log(System.Logger.Level.INFO, "stopping");
             stop();
+            LOG.log(System.Logger.Level.INFO, "stopped");
+            log.flush(LAST_LINES_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
