--- a/sidecar/src/main/java/gradehub/node/ArchiveRun.java
+++ b/sidecar/src/main/java/gradehub/node/ArchiveRun.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
@@ -18,6 +19,25 @@
     /** The network library's channels: which of their inner classes a connection needs is a matter of crossings. */
     private static final Pattern NETWORK =
             Pattern.compile("io\\.netty\\.channel\\.((nio|socket|socket\\.nio)\\.)?[^.]+");
+    /** What the runtime throws for system calls that fail: which of them do is a matter of the machine. */
+    private static final List<String> SYSTEM_CALL_EXCEPTIONS = List.of(
+            "java.net.BindException",
+            "java.net.ConnectException",
+            "java.net.NoRouteToHostException",
+            "java.net.PortUnreachableException",
+            "java.net.ProtocolException",
+            "java.net.SocketException",
+            "java.nio.channels.AlreadyConnectedException",
+            "java.nio.channels.AsynchronousCloseException",
+            "java.nio.channels.CancelledKeyException",
+            "java.nio.channels.ClosedByInterruptException",
+            "java.nio.channels.ClosedChannelException",
+            "java.nio.channels.ConnectionPendingException",
+            "java.nio.channels.NoConnectionPendingException",
+            "java.nio.channels.NotYetConnectedException",
+            "java.nio.file.AccessDeniedException",
+            "java.nio.file.FileSystemException",
+            "java.nio.file.NoSuchFileException");
     /** It takes half a minute; the rest is for a busy builder. */
     private static final long LONGEST_MINUTES = 5;
 
@@ -90,6 +110,9 @@
         for (String name : ArchiveCheck.classes(jar, NETWORK)) {
             load(name);
         }
+        for (String name : SYSTEM_CALL_EXCEPTIONS) {
+            load(name);
+        }
     }
 
     private static void load(String name) throws ClassNotFoundException {
