Review case 2: peers that write a byte a second shut all new clients out

Cause: each read that leaves undecoded bytes starts the time limit of a request anew, so a peer that trickles the head of a request is never ended. The listener stops accepting at 116 connections of 256 descriptors, and further ones stay in the backlog, neither served nor shut.

Nothing is fixed.

--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -27,6 +27,7 @@
             Path record = Path.of(args[1]);
             verdict = switch (args[0]) {
                 case "slow-long" -> SlowLong.run(record);
+                case "slow-peers" -> SlowPeers.run(record);
                 default -> COULD_NOT_RUN;
             };
         } catch (Exception e) {
