Review case 3: requests taken late in a shutdown are lost to SIGKILL

Cause: after SIGTERM a request that is being received is awaited for 0.5 s from 0.5 s on, so requests are taken until 1.0 s and get their whole time, though SIGKILL may come 0.7 s after the longest deadline and excuses only what arrived in the first 0.7 s.

Nothing is fixed.

--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -28,6 +28,7 @@
             verdict = switch (args[0]) {
                 case "slow-long" -> SlowLong.run(record);
                 case "slow-peers" -> SlowPeers.run(record);
+                case "late-stop" -> LateStop.run(record);
                 default -> COULD_NOT_RUN;
             };
         } catch (Exception e) {
