Keep message bodies on the heap, as exact copies and within one budget

Cause: each piece of a body was kept as a slice of the buffer that it had been read into. Twice a second a trial copy logged what was received and incomplete beside what the allocator held: 217 KB and 1.97 MB, 1.34 MB and 8.5 MB, 3.4 MB and 20.1 MB, 4.0 MB and 25.1 MB. So the bodies themselves (11 MB at most) would have fitted into the 24 MB of direct memory; the buffers that they pinned, six times as large, did not. From there each read of any connection first waited half a second for memory that nobody freed: 26 of 30 stack dumps, also those after the last long request, show the event loop in Bits.reserveMemory, called to allocate the buffer of a read. Closes were waited for behind the same reads, so that the memory of clients that had left was not freed either. Ruled out: a leak (the connections that were closed gave their memory back) and the heap (no collection stood out, no heap error).

Change: BodyCollector copies each piece into one array for the message and passes the body on whole. MemoryBudget counts these arrays and the heads, from the first byte until the request is closed and no attempt holds it, over all connections: a fifth of the memory that the platform allows and at most 0.4 of the heap. A request that finds no room is read to its end without being kept and refused with 503, which is harmless to try again; short ones are always admitted.

Without the change SlowRequestsIT fails with "Read timed out" on an ordinary request; with it it passes in 1.5 s.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -46,6 +46,7 @@
 
     private final ReadAheadChannel channel;
     private final ClientServer server;
+    private final BodyCollector body;
     private final ArrayDeque<PendingAnswer> pending = new ArrayDeque<>();
     /** When the connection became idle, or 0 while it is not. */
     private double idleSinceMs;
@@ -69,20 +70,25 @@
     /** Whether unread input has been checked for since the request became overdue. */
     private boolean unreadInputChecked;
 
-    ClientConnection(ReadAheadChannel channel, ClientServer server) {
+    ClientConnection(ReadAheadChannel channel, ClientServer server, BodyCollector body) {
         this.channel = channel;
         this.server = server;
+        this.body = body;
     }
 
     /** A request whose answer has not been sent, and the answer once it is available. */
     private final class PendingAnswer implements Engine.Client {
         private boolean keepAlive;
+        /** The memory of the request. */
+        private final MemoryBudget.Reservation memory;
+
         private String id;
         private Engine.Exchange exchange;
         private FullHttpResponse response;
 
         private PendingAnswer(boolean keepAlive) {
             this.keepAlive = keepAlive;
+            this.memory = body.takeReservation();
         }
 
         @Override
@@ -105,8 +111,16 @@
             return channel.isClosedByPeer();
         }
 
+        @Override
+        public void completed() {
+            memory.release();
+        }
+
         private void answer(FullHttpResponse message) {
             release();
+            if (exchange == null) {
+                completed();
+            }
             response = message;
             flushAnswers();
         }
@@ -186,6 +200,8 @@
         if (server.isReadinessCheck(message)) {
             next.answer(response(
                     server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]));
+        } else if (body.isDropped()) {
+            next.answer(Answer.refused(0));
         } else {
             submit(message, next);
         }
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -29,6 +29,7 @@
     private final Settings settings;
     private final Engine engine;
     private final SocketBudget sockets;
+    private final MemoryBudget memory;
     private final BooleanSupplier hasUpstreamList;
     private final ClientConnections connections;
     private final EventLoopLag lag;
@@ -45,12 +46,14 @@
             Settings settings,
             Engine engine,
             SocketBudget sockets,
+            MemoryBudget memory,
             BooleanSupplier hasUpstreamList) {
         this.loop = loop;
         this.clock = clock;
         this.settings = settings;
         this.engine = engine;
         this.sockets = sockets;
+        this.memory = memory;
         this.hasUpstreamList = hasUpstreamList;
         lag = new EventLoopLag(loop, clock);
         connections = new ClientConnections(loop, clock, lag, sockets);
@@ -67,13 +70,15 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        BodyCollector body = new BodyCollector(memory, Upstreams.MAX_BODY_BYTES);
                         ClientConnection connection =
-                                new ClientConnection((ReadAheadChannel) channel, ClientServer.this);
+                                new ClientConnection((ReadAheadChannel) channel, ClientServer.this, body);
                         channel.pipeline()
                                 .addLast(
                                         new RequestDecoder(connection),
                                         new HttpResponseEncoder(),
                                         new RequestValidator(),
+                                        body,
                                         RequestValidator.aggregator(),
                                         connection);
                     }
--- a/sidecar/src/main/java/gradehub/node/Config.java
+++ b/sidecar/src/main/java/gradehub/node/Config.java
@@ -19,6 +19,7 @@
         InetSocketAddress discovery,
         long seed,
         int sockets,
+        int memoryMb,
         JsonNode known,
         Settings settings,
         MemberReader members,
@@ -30,6 +31,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     private static final String FILE_VARIABLE = "BALANCER_CONFIG";
+    private static final int DEFAULT_MEMORY_MB = 192;
 
     /** Why a configuration was rejected. */
     enum Fault {
@@ -108,6 +110,7 @@
                     address(root, "discovery"),
                     seed(root),
                     sockets(root),
+                    memoryMb(root),
                     root.path("known"),
                     reader.settings(),
                     new MemberReader(reader.strings("failureDomains"), reader.strings("kinds")),
@@ -170,6 +173,14 @@
         }
     }
 
+    private static int memoryMb(JsonNode root) throws InvalidConfigException {
+        int memoryMb = root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB);
+        if (memoryMb <= 0) {
+            throw new InvalidConfigException("limits.memory_mb: must be positive");
+        }
+        return memoryMb;
+    }
+
     private static int sockets(JsonNode root) throws InvalidConfigException {
         int sockets = root.path("limits").path("sockets").asInt(1024);
         if (sockets <= SocketBudget.RESERVED_DESCRIPTORS) {
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -39,6 +39,9 @@
 
         /** Whether the connection has ended, even if the event loop has not processed its end yet. */
         boolean isDisconnected();
+
+        /** Called once, when the request is closed and no attempt holds it any more. */
+        void completed();
     }
 
     /** Provides the list of upstreams when the module asks for it. */
@@ -291,7 +294,13 @@
             }
         }
         if (exchange != null && exchange.closed && exchange.attemptsInFlight == 0) {
-            exchanges.remove(exchange.id);
+            complete(exchange);
+        }
+    }
+
+    private void complete(Exchange exchange) {
+        if (exchanges.remove(exchange.id) != null) {
+            exchange.client.completed();
         }
     }
 
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -44,11 +44,14 @@
     private final Runnable readTask = this::readBuffered;
 
     /** Creates a channel for an outgoing connection. */
-    ReadAheadChannel() {}
+    ReadAheadChannel() {
+        config().setAllocator(HeapAllocator.INSTANCE);
+    }
 
     /** Creates a channel for an accepted connection. */
     ReadAheadChannel(Channel parent, SocketChannel accepted) {
         super(parent, accepted);
+        config().setAllocator(HeapAllocator.INSTANCE);
     }
 
     /** Returns whether the channel is open and has no unread input. */
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -38,6 +38,7 @@
     private static final long DISCOVERY_WAIT_MS = 9_000;
 
     private final EventLoop loop;
+    private final MemoryBudget memory;
     private final Engine engine;
     private final Discovery discovery;
     private final ClientServer clients;
@@ -56,6 +57,7 @@
     private Sidecar(EventLoop loop, Config config, Supplier<ReadAheadChannel> channelFactory) {
         this.loop = loop;
         SocketBudget sockets = new SocketBudget(config.sockets());
+        memory = new MemoryBudget(config.memoryMb());
         Clock clock = new Clock();
         engine = new Engine(
                 loop,
@@ -65,7 +67,7 @@
                 channelFactory,
                 actions -> new LoadShiftingBalancer(config.settings(), config.seed(), actions));
         discovery = new Discovery(loop, config, channelFactory, engine);
-        clients = new ClientServer(loop, clock, config.settings(), engine, sockets, discovery::hasList);
+        clients = new ClientServer(loop, clock, config.settings(), engine, sockets, memory, discovery::hasList);
         engine.start(discovery);
         discovery.start(config);
     }
@@ -157,6 +159,10 @@
         return loop;
     }
 
+    MemoryBudget memory() {
+        return memory;
+    }
+
     Engine engine() {
         return engine;
     }
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -67,6 +67,9 @@
             public boolean isDisconnected() {
                 return false;
             }
+
+            @Override
+            public void completed() {}
         }));
         return answer.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -0,0 +1,94 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Long requests that arrive in small pieces on many connections of the packaged sidecar. */
+class SlowRequestsIT {
+
+    private static final int SLOW_CLIENTS = 150;
+    private static final int PIECES = 40;
+    private static final int PIECE_BYTES = 1024;
+    /** A request is lost if its answer comes later than half a second after the client's waiting time. */
+    private static final int ORDINARY_REMAINING_MS = 1600;
+
+    private static final int LOST_AFTER_MS = ORDINARY_REMAINING_MS + 500;
+
+    @TempDir
+    private Path folder;
+
+    private SidecarFixture fixture;
+    private StubServer upstream;
+    private StubServer discovery;
+    private SidecarProcess sidecar;
+    private int requests;
+
+    @BeforeEach
+    void open() throws Exception {
+        fixture = new SidecarFixture();
+        upstream = StubServer.upstream();
+        discovery = StubServer.discovery(
+                SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active")));
+        sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
+        sidecar.awaitReady();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        sidecar.close();
+        discovery.close();
+        upstream.close();
+        fixture.close();
+    }
+
+    private String slowRequestHead() {
+        return SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "")
+                .replace("Content-Length: 0", "Content-Length: " + PIECES * PIECE_BYTES);
+    }
+
+    /** Guards against review case 1: pieces of bodies pinned their read buffers until no memory was left to read with. */
+    @Test
+    void longBodiesInSmallPiecesDoNotStopTheSidecar() throws Exception {
+        List<RawConnection> slowClients = new ArrayList<>();
+        try (RawConnection ordinary = sidecar.client()) {
+            ordinary.setReadTimeoutMs(LOST_AFTER_MS);
+            for (int i = 0; i < SLOW_CLIENTS; i++) {
+                slowClients.add(sidecar.client().send(slowRequestHead()));
+            }
+            for (int piece = 0; piece < PIECES; piece++) {
+                for (RawConnection slow : slowClients) {
+                    slow.send("b".repeat(PIECE_BYTES));
+                }
+                assertServed(ordinary); // the sidecar has read the pieces one by one by then
+            }
+            for (RawConnection slow : slowClients) {
+                assertTrue(slow.read().status() > 0, "each slow client gets its answer");
+            }
+        } finally {
+            for (RawConnection slow : slowClients) {
+                slow.close();
+            }
+        }
+        assertEquals(
+                0,
+                sidecar.log()
+                        .lines()
+                        .filter(line -> line.contains("OutOfMemoryError"))
+                        .count());
+    }
+
+    private void assertServed(RawConnection client) throws IOException {
+        String request = SidecarFixture.getRequest(SidecarFixture.requestId(++requests), ORDINARY_REMAINING_MS);
+        assertEquals(200, client.send(request).read().status());
+    }
+}
