Count a request's time limit from its first byte, whatever arrives later

Cause: RequestDecoder reports an incomplete request after each read that leaves undecoded bytes, and ClientConnection.requestIncomplete set the beginning of the request to that moment. So each further byte of a line that is not whole put the limit of 2.2 s off. Evidence: SlowPeersTest on the code as it was: peers that drip a request line, a header, a chunk's size or a trailer are still open after 3 s; in a body, in a chunk's data and between requests, where the decoder leaves nothing undecoded, the limit held.

Change: the beginning is set by the first byte alone and cleared by a whole request.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -154,9 +154,7 @@
     @Override
     public void received(int bytes) {
         nothingReceived = false;
-        if (receivingSinceMs == 0) {
-            requestIncomplete();
-        }
+        requestIncomplete();
         if (drainingSinceMs > 0) {
             drainedBytes += bytes;
             if (drainedBytes > MAX_DRAIN_BYTES) {
@@ -172,7 +170,7 @@
 
     @Override
     public void requestIncomplete() {
-        if (!discarding) {
+        if (!discarding && receivingSinceMs == 0) {
             receivingSinceMs = server.nowMs();
             idleSinceMs = 0;
         }
