Refuse requests that are slow to arrive when no socket is left for new clients

Cause: SocketBudget ends accepting at 116 client sockets of 256 descriptors. ClientConnections.freeSockets then frees connections that are idle or have sent nothing, but none on which a request has begun: those keep their sockets for up to 2.2 s, and the requests behind them in the backlog wait as long.

Change: when fewer than 8 sockets are left for clients, and clients hold at least as many as they can have requests open (a third of the descriptors), the connections that have been sending a request for longest, and for over 250 ms, get 503 and are closed, as many as are missing. Nothing of these requests has been forwarded, so that trying again is harmless.

SocketShortageTest (80 incomplete requests on 22 client sockets) ended with "Read timed out" before and passes now; its second test, that slow clients within their third are served, passes before and after.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -29,6 +29,8 @@
     static final double SHUTDOWN_REQUEST_TIMEOUT_MS = 500;
     /** Time limit for the first byte when sockets run short: clients normally send as soon as they are connected. */
     private static final double FIRST_BYTE_TIMEOUT_MS = 250;
+    /** When sockets run out, an incomplete request may be refused this long after its first byte. */
+    private static final double MIN_RECEIVE_MS = 250;
     /** When sockets run short, a connection may be closed after being idle for this long. */
     private static final double IDLE_TIMEOUT_MS = 2000;
     /** Time limit for the client to read an answer. */
@@ -309,6 +311,29 @@
         return true;
     }
 
+    /**
+     * Refuses the request that is being received, which frees the socket soon; returns whether it did. Another client
+     * may be waiting to be accepted, and nothing of this request has been forwarded.
+     */
+    boolean refuseIncomplete(double nowMs) {
+        boolean canRefuse = hasNoWork()
+                && !discarding
+                && !nothingReceived
+                && receivingSinceMs > 0
+                && nowMs - receivingSinceMs > MIN_RECEIVE_MS
+                && channel.isOpenWithoutInput();
+        if (canRefuse) {
+            reject(new RejectedException(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections send incomplete requests"));
+        }
+        return canRefuse;
+    }
+
+    /** Whether the connection is closing or sends its last answer, so that its socket will be free soon. */
+    boolean isEnding() {
+        return discarding;
+    }
+
     void closeIfOverdue(double nowMs) {
         if (server.closing()) {
             closeIfIdle(nowMs);
--- a/sidecar/src/main/java/gradehub/node/ClientConnections.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnections.java
@@ -15,6 +15,8 @@
 
     /** Client sockets kept free for new connections. */
     private static final int SPARE_SOCKETS = 32;
+    /** Fewer than these are kept free at the cost of clients that have begun to send a request. */
+    private static final int MIN_SPARE_SOCKETS = 8;
 
     private final Clock clock;
     private final EventLoopLag lag;
@@ -86,5 +88,22 @@
         for (ClientConnection connection : all()) {
             missing -= missing > 0 && connection.closeToFreeSocket(nowMs) ? 1 : 0;
         }
+        refuseIncompleteRequests(nowMs);
+    }
+
+    /**
+     * Ends the connections that have been sending a request for longest, when no socket is left for others. Clients may
+     * have fewer requests open than they can have connections here, so some of these are not clients.
+     */
+    private void refuseIncompleteRequests(double nowMs) {
+        int missing = MIN_SPARE_SOCKETS - sockets.remainingClientSockets();
+        if (missing <= 0 || connections.size() < sockets.maxConcurrentRequests()) {
+            return;
+        }
+        List<ClientConnection> open = all();
+        missing -= (int) open.stream().filter(ClientConnection::isEnding).count();
+        for (ClientConnection connection : open) {
+            missing -= missing > 0 && connection.refuseIncomplete(nowMs) ? 1 : 0;
+        }
     }
 }
