Pause reading from clients that do not read their answers

What callers would see: one client that sends requests in a row and reads no answer ended the whole sidecar.

Cause: reading paused at four requests without an answer, but an answer that is queued and not yet written no longer counted. GET /ready is answered at once, so that requests were read, and answers queued, without end until the time limit for reading an answer closed the connection 5 s later; the heap is full before that.

Evidence: SlowRequestsIT.answersThatAreNotReadDoNotFillTheMemory against the packaged sidecar before the change: the process had ended ("Connection refused" to the next client).

Change: requests whose answers are not written count as open, for the pause and for the limit on pipelined requests, and reading goes on once they are written. A client that sends one request at a time never has two.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -43,8 +43,8 @@
 
     /** Bytes of input after which draining ends with an immediate close. */
     private static final int MAX_DRAIN_BYTES = 1 << 18;
-    /** Number of pending requests at which reading pauses. */
-    private static final int MAX_PENDING_REQUESTS = 4;
+    /** Number of requests, without an answer or with an unwritten one, at which reading pauses. */
+    private static final int MAX_OPEN_REQUESTS = 4;
 
     private final ReadAheadChannel channel;
     private final ClientServer server;
@@ -190,7 +190,7 @@
             reject(message.decoderResult().cause());
             return;
         }
-        if (pending.size() >= MAX_PENDING_REQUESTS) {
+        if (openRequests() >= MAX_OPEN_REQUESTS) {
             reject(new RejectedException(HttpResponseStatus.BAD_REQUEST, "too many pipelined requests"));
             return;
         }
@@ -278,7 +278,12 @@
     }
 
     private void updateAutoRead() {
-        channel.config().setAutoRead(drainingSinceMs > 0 || !discarding && pending.size() < MAX_PENDING_REQUESTS);
+        channel.config().setAutoRead(drainingSinceMs > 0 || !discarding && openRequests() < MAX_OPEN_REQUESTS);
+    }
+
+    /** Requests without an answer, and those whose answer is not written: a client may not read its answers. */
+    private int openRequests() {
+        return pending.size() + pendingWrites;
     }
 
     private void onWritten(boolean last) {
@@ -286,6 +291,8 @@
         writingSinceMs = pendingWrites == 0 ? 0 : server.nowMs();
         if (last) {
             shutdown();
+        } else {
+            updateAutoRead();
         }
     }
 
--- a/sidecar/src/test/java/gradehub/node/SidecarProcess.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -60,6 +61,11 @@
         return RawConnection.connect(address);
     }
 
+    /** Opens a connection without a reader of its answers. */
+    Socket socket() throws IOException {
+        return new Socket(address.getAddress(), address.getPort());
+    }
+
     /** Whether {@code /ready} answers 200; false if the sidecar does not listen. */
     boolean isReady() {
         try (RawConnection client = client()) {
--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +22,8 @@
     private static final int SLOW_CLIENTS = 150;
     private static final int PIECES = 40;
     private static final int PIECE_BYTES = 1024;
+    private static final int PIPELINED_REQUESTS = 10_000;
+    private static final int PIPELINED_BATCHES = 300;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
     private static final int ORDINARY_REMAINING_MS = 1600;
 
@@ -87,6 +92,23 @@
                         .count());
     }
 
+    /** Guards against a client that pipelines requests and reads no answer: its answers filled the heap. */
+    @Test
+    void answersThatAreNotReadDoNotFillTheMemory() throws Exception {
+        byte[] requests =
+                "GET /ready HTTP/1.1\r\n\r\n".repeat(PIPELINED_REQUESTS).getBytes(StandardCharsets.US_ASCII);
+        try (Socket client = sidecar.socket()) {
+            for (int i = 0; i < PIPELINED_BATCHES; i++) {
+                client.getOutputStream().write(requests);
+            }
+        } catch (SocketException e) {
+            // The sidecar closes the connection of a client that does not read.
+        }
+        try (RawConnection ordinary = sidecar.client()) {
+            assertServed(ordinary);
+        }
+    }
+
     private void assertServed(RawConnection client) throws IOException {
         String request = SidecarFixture.getRequest(SidecarFixture.requestId(++requests), ORDINARY_REMAINING_MS);
         assertEquals(200, client.send(request).read().status());
