Limit the number of headers of a message

What callers would see: 500 peers that send heads of 4,000 tiny headers and do not end them stopped the whole sidecar.

Cause: the length of a head is limited to 8 KiB on each connection, counted without line ends, but a header of two bytes takes some 200 on the heap: one head can take most of a megabyte, and 539 connections can send one at once. Another limit for each connection with none in sum.

--- a/sidecar/src/main/java/gradehub/node/RequestDecoder.java
+++ b/sidecar/src/main/java/gradehub/node/RequestDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /** Strict request decoder: ambiguous input could smuggle a second request. Reports input to the connection. */
@@ -21,6 +22,7 @@
     }
 
     private final Input input;
+    private final HeaderLimit headers = new HeaderLimit();
 
     RequestDecoder(Input input) {
         super(new HttpDecoderConfig().setStrictLineParsing(true));
@@ -33,6 +35,18 @@
         super.channelRead(context, message);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        headers.reset();
+        return super.createMessage(initialLine);
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        headers.add();
+        return super.splitHeaderName(line, start, length);
+    }
+
     /** Called for each message in turn, since the previous one may have stopped the reading of requests. */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
--- a/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
+++ b/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
@@ -132,6 +132,17 @@
         }
     }
 
+    /** Guards against heads of thousands of tiny headers, which take far more memory than their bytes. */
+    @Test
+    void tooManyHeadersAreRejected() throws Exception {
+        fixture.start(list);
+        try (RawConnection client = fixture.client()) {
+            client.send("GET /window-read HTTP/1.1\r\n" + "a:\r\n".repeat(101));
+            assertEquals(431, client.read().status());
+            assertTrue(client.awaitClose());
+        }
+    }
+
     @Test
     void incompleteRequestTimesOut() throws Exception {
         fixture.start(list);
--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -24,6 +24,8 @@
     private static final int PIECE_BYTES = 1024;
     private static final int PIPELINED_REQUESTS = 10_000;
     private static final int PIPELINED_BATCHES = 300;
+    private static final int PEERS = 500;
+    private static final int TINY_HEADERS = 4000;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
     private static final int ORDINARY_REMAINING_MS = 1600;
 
@@ -109,6 +111,23 @@
         }
     }
 
+    /** Guards against heads of thousands of tiny headers: each took a hundred times its bytes on the heap. */
+    @Test
+    void headsOfManyHeadersDoNotFillTheMemory() throws Exception {
+        List<RawConnection> peers = new ArrayList<>();
+        try (RawConnection ordinary = sidecar.client()) {
+            ordinary.setReadTimeoutMs(LOST_AFTER_MS);
+            for (int i = 0; i < PEERS; i++) {
+                peers.add(sidecar.client().send("GET /window-read HTTP/1.1\r\n" + "a:\r\n".repeat(TINY_HEADERS)));
+            }
+            assertServed(ordinary);
+        } finally {
+            for (RawConnection peer : peers) {
+                peer.close();
+            }
+        }
+    }
+
     private void assertServed(RawConnection client) throws IOException {
         String request = SidecarFixture.getRequest(SidecarFixture.requestId(++requests), ORDINARY_REMAINING_MS);
         assertEquals(200, client.send(request).read().status());
