Count answers in the memory budget until they are written

What callers would see: answers that wait for an earlier one on their connection, or for a client that reads slowly, took memory that nobody counted, so that new messages were admitted beside them.

Cause: the budget counted an upstream's answer up to the end of its attempt alone.

Evidence: MessageMemoryTest.answerIsCountedUntilItIsWritten failed before (the budget was empty while 60 KiB waited).

Change: an answer is counted from the moment it is given until its write has succeeded or failed.

Result: the test passes.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -83,6 +83,8 @@
         private boolean keepAlive;
         /** The memory of the request. */
         private final MemoryBudget.Reservation memory;
+        /** The memory of the answer, until it is written. */
+        private final MemoryBudget.Reservation answerMemory = server.memory().reservation();
 
         private String id;
         private Engine.Exchange exchange;
@@ -124,6 +126,7 @@
                 completed();
             }
             response = message;
+            answerMemory.grow(message.content().readableBytes());
             flushAnswers();
         }
 
@@ -259,6 +262,7 @@
             HttpUtil.setKeepAlive(first.response, !last);
             writingSinceMs = pendingWrites++ == 0 ? server.nowMs() : writingSinceMs;
             channel.writeAndFlush(first.response).addListener(out -> {
+                first.answerMemory.release();
                 if (out.isSuccess()) {
                     onWritten(last);
                 } else {
@@ -405,6 +409,7 @@
             request.release();
             if (request.response != null) {
                 request.response.release();
+                request.answerMemory.release();
             } else if (request.exchange != null) {
                 server.clientClosed(request.exchange);
             }
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -142,6 +142,10 @@
         return connections;
     }
 
+    MemoryBudget memory() {
+        return memory;
+    }
+
     boolean closing() {
         return closingSinceMs > 0;
     }
--- a/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
@@ -81,6 +81,26 @@
         fixture.awaitOnEventLoop(() -> memory().usedBytes() == 0);
     }
 
+    /** Guards against answers that wait for an earlier one on their connection, or to be written, without being counted. */
+    @Test
+    void answerIsCountedUntilItIsWritten() throws Exception {
+        try (RawConnection client = fixture.client()) {
+            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(1)));
+            RawConnection first = SidecarFixture.accept(upstream);
+            first.read();
+            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(2)));
+            RawConnection second = SidecarFixture.accept(upstream);
+            second.read();
+            second.send(SidecarFixture.answer("200 OK", LONG_BODY));
+            fixture.awaitRequestsInFlight(1);
+            fixture.awaitOnEventLoop(() -> memory().usedBytes() >= LONG_BODY_BYTES);
+            first.send(SidecarFixture.answer("200 OK", ""));
+            assertEquals(200, client.read().status());
+            assertEquals(LONG_BODY, client.read().body());
+            fixture.awaitOnEventLoop(() -> memory().usedBytes() == 0);
+        }
+    }
+
     /** Guards against an answer that is being received without being counted. */
     @Test
     void answerIsCountedWhileItIsReceived() throws Exception {
