Count input that is read ahead in the memory budget

What callers would see: a client that pipelines requests makes the sidecar read up to 128 KiB ahead of them, to see whether it has left. While four of its requests are open that input stays in memory: 69 MB for 539 connections, limited for each and not in sum.

Evidence: MessageMemoryTest.inputThatIsReadAheadIsCounted. Before the change the budget did not show the 60 KiB behind four open requests; the test ended with "Accept timed out" after a minute.

Change: the buffer's growth is reserved in the budget. Where there is no room the channel reads no further, and a close behind that input is seen once it has been read, as behind more than 128 KiB before.

Result: the test passes in under a second.

--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -20,6 +20,8 @@
     /** Returns how many more clients may be connected. */
     private final IntSupplier remainingClients;
 
+    private final MemoryBudget memory;
+
     private final Runnable resumeTask =
             this::resume; // created up front: linking the lambda on first use would delay clients
     private final RateLimitedLog acceptFailureLog = new RateLimitedLog();
@@ -35,8 +37,9 @@
     private boolean acceptedUnreported;
 
     /** Creates a listener that accepts at most {@code remainingClients} clients at once. */
-    ClientListener(IntSupplier remainingClients) {
+    ClientListener(IntSupplier remainingClients, MemoryBudget memory) {
         this.remainingClients = remainingClients;
+        this.memory = memory;
     }
 
     /** Accepts all pending clients within the limit: any left would wait for the next iteration of the event loop. */
@@ -96,7 +99,7 @@
             pendingSetup.configureBlocking(false);
             SocketChannel client = pendingSetup;
             pendingSetup = null;
-            accepted.add(new ReadAheadChannel(this, client));
+            accepted.add(new ReadAheadChannel(this, client, memory.reservation()));
         }
     }
 
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -63,7 +63,7 @@
     ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new ClientListener(sockets::remainingClientSockets))
+                .channelFactory(() -> new ClientListener(sockets::remainingClientSockets, memory))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptOnePerRead())
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -17,10 +17,10 @@
  */
 final class ReadAheadChannel extends NioSocketChannel {
 
-    /** Limit of the buffer, larger than any request. A close behind more input than this is not detected. */
+    /** Limit of the buffer, larger than any request. A close behind more input than this, or than memory allows, is not detected. */
     private static final int MAX_BUFFERED_BYTES = 1 << 17;
 
-    private static final int BUFFER_INCREMENT_BYTES = 1024;
+    private static final int INITIAL_BUFFER_BYTES = 1024;
 
     /** Result of a socket read at the end of the stream; other negative results do not mean the end. */
     private static final int END_OF_STREAM = -1;
@@ -28,6 +28,9 @@
     private static final int MAX_INTERRUPTED_READS = 16;
 
     private ByteBuf buffered;
+    /** The memory of the buffer, or null where it is not counted. */
+    private final MemoryBudget.Reservation memory;
+
     private boolean inputEnded;
     /** Null until the channel is registered with an event loop. */
     private RegistrationMonitor registrationMonitor;
@@ -45,12 +48,14 @@
 
     /** Creates a channel for an outgoing connection. */
     ReadAheadChannel() {
+        memory = null;
         config().setAllocator(HeapAllocator.INSTANCE);
     }
 
-    /** Creates a channel for an accepted connection. */
-    ReadAheadChannel(Channel parent, SocketChannel accepted) {
+    /** Creates a channel for an accepted connection; what it reads ahead counts in {@code memory}. */
+    ReadAheadChannel(Channel parent, SocketChannel accepted, MemoryBudget.Reservation memory) {
         super(parent, accepted);
+        this.memory = memory;
         config().setAllocator(HeapAllocator.INSTANCE);
     }
 
@@ -70,7 +75,7 @@
     private void fillBuffer() {
         if (buffered == null) {
             // Array-backed: copying between buffers uses a method handle that would be compiled while requests wait.
-            buffered = alloc().heapBuffer(BUFFER_INCREMENT_BYTES, MAX_BUFFERED_BYTES);
+            buffered = alloc().heapBuffer(INITIAL_BUFFER_BYTES, MAX_BUFFERED_BYTES);
         }
         int before = buffered.readableBytes();
         try {
@@ -89,14 +94,26 @@
     private int readIntoBuffer() throws IOException {
         int read = 1;
         int interrupted = 0;
-        while ((read > 0 || read < END_OF_STREAM && interrupted++ < MAX_INTERRUPTED_READS)
-                && buffered.maxWritableBytes() > 0) {
-            buffered.ensureWritable(Math.min(BUFFER_INCREMENT_BYTES, buffered.maxWritableBytes()));
+        while ((read > 0 || read < END_OF_STREAM && interrupted++ < MAX_INTERRUPTED_READS) && makeWritable()) {
             read = buffered.writeBytes(javaChannel(), buffered.writableBytes());
         }
         return read;
     }
 
+    /** Doubles a full buffer; returns false if its limit or the memory does not allow that. */
+    private boolean makeWritable() {
+        if (buffered.isWritable()) {
+            return true;
+        }
+        int capacity = Math.min(2 * buffered.capacity(), MAX_BUFFERED_BYTES);
+        int increment = capacity - buffered.capacity();
+        if (increment == 0 || memory != null && !memory.tryGrow(increment)) {
+            return false;
+        }
+        buffered.capacity(capacity);
+        return true;
+    }
+
     /** Closes the channel from the event loop, which cannot see an error that a check has already consumed. */
     private void scheduleClose() {
         eventLoop().execute(closeTask);
@@ -104,8 +121,15 @@
 
     private void releaseIfEmpty() {
         if (buffered != null && !buffered.isReadable()) {
-            buffered.release();
-            buffered = null;
+            releaseBuffer();
+        }
+    }
+
+    private void releaseBuffer() {
+        buffered.release();
+        buffered = null;
+        if (memory != null) {
+            memory.release();
         }
     }
 
@@ -251,8 +275,7 @@
     @Override
     protected void doClose() throws Exception {
         if (buffered != null) {
-            buffered.release();
-            buffered = null;
+            releaseBuffer();
         }
         if (registrationMonitor != null) {
             registrationMonitor.closed();
--- a/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
@@ -11,6 +11,9 @@
 class MessageMemoryTest {
 
     private static final int LONG_BODY_BYTES = 60 * 1024;
+    /** The number of open requests at which a connection is not read any further. */
+    private static final int OPEN_REQUESTS = 4;
+
     private static final String LONG_BODY = "b".repeat(LONG_BODY_BYTES);
 
     private SidecarFixture fixture;
@@ -101,6 +104,32 @@
         }
     }
 
+    /** Guards against input that is read to look for a close, and kept while the connection's requests are open, uncounted. */
+    @Test
+    void inputThatIsReadAheadIsCounted() throws Throwable {
+        String padding = "X-Pad: " + "p".repeat(1000) + "\r\n\r\n";
+        StringBuilder requests = new StringBuilder();
+        for (int i = 1; i <= OPEN_REQUESTS; i++) {
+            requests.append(
+                    SidecarFixture.getRequest(SidecarFixture.requestId(i)).replaceAll("\r\n\r\n$", "\r\n" + padding));
+        }
+        requests.append(SidecarFixture.postRequest(SidecarFixture.requestId(OPEN_REQUESTS + 1), LONG_BODY));
+        try (RawConnection client = fixture.client()) {
+            fixture.whileEventLoopBlocked(() -> client.send(requests.toString()));
+            fixture.awaitRequestsInFlight(OPEN_REQUESTS);
+            fixture.awaitOnEventLoop(() -> memory().usedBytes() >= LONG_BODY_BYTES / 2);
+            for (int i = 1; i <= OPEN_REQUESTS + 1; i++) {
+                RawConnection up = SidecarFixture.accept(upstream);
+                up.read();
+                up.send(SidecarFixture.answer("200 OK", "", "Connection: close"));
+            }
+            for (int i = 1; i <= OPEN_REQUESTS + 1; i++) {
+                assertEquals(200, client.read().status());
+            }
+        }
+        fixture.awaitOnEventLoop(() -> memory().usedBytes() == 0);
+    }
+
     /** Guards against an answer that is being received without being counted. */
     @Test
     void answerIsCountedWhileItIsReceived() throws Exception {
