--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Long requests that arrive in small pieces on many connections of the packaged sidecar. */
+/** Clients of the packaged sidecar that send or read a little at a time must not use up its memory. */
 class SlowRequestsIT {
 
     private static final int SLOW_CLIENTS = 150;
