--- a/sidecar/src/test/java/gradehub/node/ClientCloseTest.java
+++ b/sidecar/src/test/java/gradehub/node/ClientCloseTest.java
@@ -33,9 +33,7 @@
     }
 
     private void start(int sockets) throws Exception {
-        fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")),
-                sockets);
+        fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)), sockets);
     }
 
     private RawConnection ready() throws Exception {
--- a/sidecar/src/test/java/gradehub/node/CloseDelimitedAnswerTest.java
+++ b/sidecar/src/test/java/gradehub/node/CloseDelimitedAnswerTest.java
@@ -88,9 +88,7 @@
     void open() throws Exception {
         fixture = new SidecarFixture();
         upstream = fixture.listener();
-        fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")),
-                this::counted);
+        fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)), this::counted);
     }
 
     @AfterEach
@@ -288,10 +286,7 @@
         BlockAfterFirstRead block = new BlockAfterFirstRead();
         try (SidecarFixture held = new SidecarFixture();
                 ServerSocket listener = held.listener()) {
-            held.start(
-                    SidecarFixture.list(
-                            1, true, SidecarFixture.member("u1", SidecarFixture.address(listener), "active")),
-                    () -> with(block));
+            held.start(SidecarFixture.listOf(SidecarFixture.address(listener)), () -> with(block));
             try (RawConnection client = held.client()) {
                 client.send(SidecarFixture.postRequest(SidecarFixture.requestId(1), "x"));
                 RawConnection up = SidecarFixture.accept(listener);
--- a/sidecar/src/test/java/gradehub/node/DescriptorExhaustionTest.java
+++ b/sidecar/src/test/java/gradehub/node/DescriptorExhaustionTest.java
@@ -37,7 +37,7 @@
     }
 
     private String list() {
-        return SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active"));
+        return SidecarFixture.listOf(SidecarFixture.address(upstream));
     }
 
     @Test
--- a/sidecar/src/test/java/gradehub/node/DiscoveryTest.java
+++ b/sidecar/src/test/java/gradehub/node/DiscoveryTest.java
@@ -26,8 +26,7 @@
     }
 
     private RawConnection startWithOne() throws Exception {
-        return fixture.start(SidecarFixture.list(
-                        1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")))
+        return fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)))
                 .client();
     }
 
--- a/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
+++ b/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
@@ -21,7 +21,7 @@
     void open() throws Exception {
         fixture = new SidecarFixture();
         upstream = fixture.listener();
-        list = SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active"));
+        list = SidecarFixture.listOf(SidecarFixture.address(upstream));
     }
 
     @AfterEach
--- a/sidecar/src/test/java/gradehub/node/MalformedAnswerTest.java
+++ b/sidecar/src/test/java/gradehub/node/MalformedAnswerTest.java
@@ -22,8 +22,7 @@
     void open() throws Exception {
         fixture = new SidecarFixture();
         upstream = fixture.listener();
-        fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")));
+        fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)));
     }
 
     @AfterEach
--- a/sidecar/src/test/java/gradehub/node/RegistrationFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/RegistrationFaultIT.java
@@ -49,10 +49,6 @@
         faults.set(Call.EPOLL_CTL, Error.ENOMEM, 100);
     }
 
-    private static String listOf(String address) {
-        return SidecarFixture.list(1, true, SidecarFixture.member("u1", address, "active"));
-    }
-
     /** Starts a sidecar, sends it this list on its discovery watch, and waits until it is ready. */
     private SidecarProcess startWith(String list) throws Exception {
         SidecarProcess sidecar = SidecarProcess.start(folder, fixture.config(null), faults.environment());
@@ -75,8 +71,8 @@
     void startsServesAndHandlesSignalsWithAllRegistrationsFailing() throws Exception {
         failRegistrations();
         try (StubServer upstream = StubServer.upstream();
-                StubServer discovery = StubServer.discovery(listOf(upstream.address()));
-                StubServer moved = StubServer.discovery(listOf(upstream.address()));
+                StubServer discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
+                StubServer moved = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
                 SidecarProcess sidecar = SidecarProcess.start(
                         folder, fixture.config(null).put("discovery", discovery.address()), faults.environment())) {
             sidecar.awaitReady();
@@ -105,7 +101,7 @@
     @Test
     void servesClientWhoseRegistrationFails() throws Exception {
         try (StubServer upstream = StubServer.upstream();
-                SidecarProcess sidecar = startWith(listOf(upstream.address()))) {
+                SidecarProcess sidecar = startWith(SidecarFixture.listOf(upstream.address()))) {
             failRegistrations();
             try (RawConnection client = sidecar.client()) {
                 assertServed(client, 1);
@@ -119,7 +115,7 @@
     @Test
     void readsAnswerOfUpstreamWhoseRegistrationFails() throws Exception {
         ServerSocket upstream = fixture.listener();
-        try (SidecarProcess sidecar = startWith(listOf(SidecarFixture.address(upstream)));
+        try (SidecarProcess sidecar = startWith(SidecarFixture.listOf(SidecarFixture.address(upstream)));
                 RawConnection client = sidecar.client()) {
             client.send(SidecarFixture.getRequest(SidecarFixture.requestId(1), REMAINING_MS));
             answer(upstream, "Connection: close");
@@ -156,7 +152,7 @@
     void readsListFromDiscoveryWhoseRegistrationFails() throws Exception {
         try (StubServer former = StubServer.upstream();
                 StubServer next = StubServer.upstream();
-                SidecarProcess sidecar = startWith(listOf(former.address()));
+                SidecarProcess sidecar = startWith(SidecarFixture.listOf(former.address()));
                 RawConnection client = sidecar.client()) {
             assertServed(client, 1);
             failRegistrations();
@@ -179,7 +175,7 @@
     @Test
     void writesPendingOutputWhoseRegistrationFails() throws Exception {
         try (StubServer upstream = StubServer.upstream();
-                SidecarProcess sidecar = startWith(listOf(upstream.address()));
+                SidecarProcess sidecar = startWith(SidecarFixture.listOf(upstream.address()));
                 RawConnection client = sidecar.client()) {
             assertServed(client, 1);
             failRegistrations();
@@ -196,7 +192,8 @@
     @Test
     void servesClientAfterFailedRegistrationWithRebuiltSelector() throws Exception {
         try (SidecarFixture.FullBacklogListener fullListener = new SidecarFixture.FullBacklogListener();
-                SidecarProcess sidecar = startWith(listOf(SidecarFixture.address(fullListener.listener)));
+                SidecarProcess sidecar =
+                        startWith(SidecarFixture.listOf(SidecarFixture.address(fullListener.listener)));
                 RawConnection waiting = sidecar.client();
                 RawConnection idle = sidecar.client()) {
             waiting.send(SidecarFixture.getRequest(SidecarFixture.requestId(1), REMAINING_MS));
--- a/sidecar/src/test/java/gradehub/node/ReloadTest.java
+++ b/sidecar/src/test/java/gradehub/node/ReloadTest.java
@@ -118,8 +118,7 @@
     void invalidFileChangesNothing() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture()) {
             ServerSocket upstream = fixture.listener();
-            fixture.start(SidecarFixture.list(
-                    1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")));
+            fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)));
             RawConnection watch = fixture.acceptWatch();
             fixture.sidecar().reload(writeConfig("{\"discovery\":"));
             fixture.sidecar()
--- a/sidecar/src/test/java/gradehub/node/RetryTest.java
+++ b/sidecar/src/test/java/gradehub/node/RetryTest.java
@@ -22,7 +22,7 @@
     void open() throws Exception {
         fixture = new SidecarFixture();
         upstream = fixture.listener();
-        list = SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active"));
+        list = SidecarFixture.listOf(SidecarFixture.address(upstream));
     }
 
     @AfterEach
--- a/sidecar/src/test/java/gradehub/node/SidecarFixture.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixture.java
@@ -70,6 +70,11 @@
                 + "]}";
     }
 
+    /** Returns a full list with a single upstream, ready at this address. */
+    static String listOf(String address) {
+        return list(1, true, member("u1", address, "active"));
+    }
+
     /** Returns a configuration for this fixture; {@code known} may be null. */
     ObjectNode config(String known) throws IOException {
         ObjectNode root = Config.JSON.createObjectNode();
--- a/sidecar/src/test/java/gradehub/node/SidecarFixtureTest.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixtureTest.java
@@ -14,8 +14,7 @@
         Sidecar sidecar;
         try (SidecarFixture fixture = new SidecarFixture();
                 ServerSocket upstream = fixture.listener()) {
-            sidecar = fixture.start(SidecarFixture.list(
-                            1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")))
+            sidecar = fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)))
                     .sidecar();
             fixture.acceptWatch();
         }
--- a/sidecar/src/test/java/gradehub/node/SidecarTest.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarTest.java
@@ -31,8 +31,7 @@
     }
 
     private RawConnection startWithOneUpstream() throws Exception {
-        return fixture.start(SidecarFixture.list(
-                        1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")))
+        return fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)))
                 .client();
     }
 
@@ -112,7 +111,7 @@
         String readinessRequest = "GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
         int maxRequests = 20; // half of the descriptors above the reserve
         fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")),
+                SidecarFixture.listOf(SidecarFixture.address(upstream)),
                 SocketBudget.RESERVED_DESCRIPTORS + 2 * maxRequests);
         RawConnection reusedClient =
                 fixture.client().send(readinessRequest + SidecarFixture.getRequest(SidecarFixture.requestId(0)));
@@ -140,7 +139,7 @@
         int maxRequests = 6; // half of the descriptors above the reserve
         int heldConnections = 3; // the other connections are kept for more valuable requests
         fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")),
+                SidecarFixture.listOf(SidecarFixture.address(upstream)),
                 SocketBudget.RESERVED_DESCRIPTORS + 2 * maxRequests);
         RawConnection first = fixture.client()
                 .send(SidecarFixture.postRequest(SidecarFixture.requestId(0), "x")
@@ -384,9 +383,7 @@
     /** Without free descriptors an accept fails and a request is lost, so upstreams leave sockets for clients. */
     @Test
     void upstreamConnectionsLeaveSocketsForClients() throws Exception {
-        fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")),
-                SocketBudget.RESERVED_DESCRIPTORS + 4);
+        fixture.start(SidecarFixture.listOf(SidecarFixture.address(upstream)), SocketBudget.RESERVED_DESCRIPTORS + 4);
         try (RawConnection first = fixture.client();
                 RawConnection second = fixture.client()) {
             first.send(SidecarFixture.getRequest(SidecarFixture.requestId(1)));
--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -44,8 +44,7 @@
     void open() throws Exception {
         fixture = new SidecarFixture();
         upstream = StubServer.upstream();
-        discovery = StubServer.discovery(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active")));
+        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
         sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
         sidecar.awaitReady();
     }
--- a/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
+++ b/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
@@ -32,8 +32,7 @@
         fixture = new SidecarFixture();
         upstream = StubServer.upstream();
         fixture.start(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active")),
-                SocketBudget.RESERVED_DESCRIPTORS + AVAILABLE_DESCRIPTORS);
+                SidecarFixture.listOf(upstream.address()), SocketBudget.RESERVED_DESCRIPTORS + AVAILABLE_DESCRIPTORS);
     }
 
     @AfterEach
--- a/sidecar/src/test/java/gradehub/node/StalledLogIT.java
+++ b/sidecar/src/test/java/gradehub/node/StalledLogIT.java
@@ -40,8 +40,7 @@
         faults = new SyscallFaults(folder, SEED);
         fixture = new SidecarFixture();
         upstream = StubServer.upstream();
-        discovery = StubServer.discovery(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active")));
+        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
         pipe = openLogPipe();
         sidecar = SidecarProcess.start(
                 folder, fixture.config(null).put("discovery", discovery.address()), faults.environment());
--- a/sidecar/src/test/java/gradehub/node/StartFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/StartFaultIT.java
@@ -41,8 +41,7 @@
         faults.set(call, error, 100);
         try (SidecarFixture fixture = new SidecarFixture();
                 StubServer upstream = StubServer.upstream();
-                StubServer discovery = StubServer.discovery(
-                        SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active")));
+                StubServer discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
                 SidecarProcess sidecar = SidecarProcess.start(
                         folder, fixture.config(null).put("discovery", discovery.address()), faults.environment())) {
             faults.awaitInjected(call, FAILURES, sidecar.process());
@@ -83,7 +82,7 @@
                 StubServer departed = StubServer.upstream();
                 StubServer current = StubServer.upstream()) {
             ServerSocket discovery = fixture.discovery;
-            String known = SidecarFixture.list(1, true, SidecarFixture.member("u1", departed.address(), "active"));
+            String known = SidecarFixture.listOf(departed.address());
             ObjectNode config = fixture.config(known);
             try (SidecarProcess sidecar =
                             SidecarProcess.start(folder, config, new SyscallFaults(folder, SEED).environment());
@@ -116,7 +115,7 @@
     void unreachableDiscoveryDoesNotPreventServingWithTheOldList() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture();
                 StubServer upstream = StubServer.upstream()) {
-            String known = SidecarFixture.list(1, true, SidecarFixture.member("u1", upstream.address(), "active"));
+            String known = SidecarFixture.listOf(upstream.address());
             ObjectNode config = fixture.config(known).put("discovery", fixture.unusedAddress());
             try (SidecarProcess sidecar =
                     SidecarProcess.start(folder, config, new SyscallFaults(folder, SEED).environment())) {
--- a/sidecar/src/test/java/gradehub/node/StopTest.java
+++ b/sidecar/src/test/java/gradehub/node/StopTest.java
@@ -171,8 +171,7 @@
     /** SIGTERM may arrive before the sidecar listens; the shutdown is the same, so later requests are answered too. */
     @Test
     void stopBeforeListeningShutsDown() throws Exception {
-        Config config = Config.parse(fixture.config(
-                SidecarFixture.list(1, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active"))));
+        Config config = Config.parse(fixture.config(SidecarFixture.listOf(SidecarFixture.address(upstream))));
         Sidecar sidecar = Sidecar.create(config);
         CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
             try {
