Answer every request before SIGKILL can come, whatever its own time

Their last byte came 0.77 to 0.92 s after SIGTERM, the upstreams hung, and SIGKILL at 3.705 s found them unanswered.

Cause: a request had its whole own time also during the shutdown. Nothing in the process knew that the platform may kill it the longest deadline (3 s at most) and 0.7 s after SIGTERM, so 3 s from 0.77 s on ended after that. Evidence: the record shows X-Remaining-Ms of 2986 to 2989 told to the hanging upstreams after SIGTERM.

Change: KillDeadline computes from the settings by when answers are due; Sidecar.stop takes the time before anything else. From then on no request and no attempt has more time than that, so retries and second copies keep to it too; requests from before are ended at that time, and a request that is still incomplete is answered then at the latest.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -352,9 +352,7 @@
         if (drainingSinceMs > 0 && nowMs - drainingSinceMs > DRAIN_TIMEOUT_MS
                 || writingSinceMs > 0 && nowMs - writingSinceMs > ANSWER_READ_TIMEOUT_MS) {
             close();
-        } else if (receivingSinceMs > 0
-                && nowMs - Math.max(receivingSinceMs, server.closingSinceMs()) > requestTimeoutMs()
-                && isInputRead()) {
+        } else if (receivingSinceMs > 0 && nowMs > receiveDeadlineMs() && isInputRead()) {
             if (nothingReceived) {
                 shutdown();
             } else {
@@ -364,8 +362,10 @@
         }
     }
 
-    private double requestTimeoutMs() {
-        return server.closing() ? SHUTDOWN_REQUEST_TIMEOUT_MS : REQUEST_TIMEOUT_MS;
+    /** When the request being received has to be complete. */
+    private double receiveDeadlineMs() {
+        double timeoutMs = server.closing() ? SHUTDOWN_REQUEST_TIMEOUT_MS : REQUEST_TIMEOUT_MS;
+        return Math.min(Math.max(receivingSinceMs, server.closingSinceMs()) + timeoutMs, server.answerByMs());
     }
 
     /** Elapsed time alone proves no timeout: input may have arrived in time and be unread for lack of CPU time. */
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -39,6 +39,8 @@
     private ClientListener listener;
     /** When the server began to close connections after their current answer; 0 before that. */
     private double closingSinceMs;
+    /** When the last answer is due; known once the sidecar shuts down. */
+    private double answerByMs = Double.POSITIVE_INFINITY;
 
     ClientServer(
             EventLoop loop,
@@ -97,6 +99,12 @@
         return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
     }
 
+    /** Answers all requests by {@code timeMs}, whether they are complete or not. */
+    void answerAllBy(double timeMs) {
+        answerByMs = timeMs;
+        engine.answerAllBy(timeMs);
+    }
+
     /** Closes idle connections now, and every other connection after its current answer. */
     void endConnections() {
         if (!closing()) {
@@ -154,6 +162,10 @@
         return closingSinceMs;
     }
 
+    double answerByMs() {
+        return answerByMs;
+    }
+
     boolean ready() {
         return hasUpstreamList.getAsBoolean();
     }
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -104,6 +104,8 @@
     private ListSource listSource;
     private int lastRequest;
     private int lastMember;
+    /** When the last answer is due, for any request; known once the sidecar shuts down. */
+    private double answerByMs = Double.POSITIVE_INFINITY;
 
     Engine(
             EventLoop loop,
@@ -146,8 +148,9 @@
 
     /** Starts a request; {@code queuedMs}, the time it waited before it was read, counts against its deadline. */
     Exchange request(ClientRequest request, double queuedMs, Client client) {
-        double remainingMs = Math.max(0, request.remainingMs() - queuedMs);
-        Exchange exchange = new Exchange(++lastRequest, request, client, clock.nowMs() + remainingMs);
+        double nowMs = clock.nowMs();
+        double remainingMs = Math.max(0, Math.min(request.remainingMs() - queuedMs, answerByMs - nowMs));
+        Exchange exchange = new Exchange(++lastRequest, request, client, nowMs + remainingMs);
         exchanges.put(exchange.id, exchange);
         // The module should answer before the deadline; this timer makes sure that the client gets an answer.
         exchange.deadlineTimer = schedule(remainingMs + slackMs / 2, () -> {
@@ -168,6 +171,21 @@
         return exchange;
     }
 
+    /** Ends the time of all requests, including later ones, at {@code timeMs}. */
+    void answerAllBy(double timeMs) {
+        answerByMs = timeMs;
+        // The module knows only of the deadlines of later requests; this ends the others.
+        schedule(Math.max(0, timeMs - clock.nowMs()) + slackMs / 2, this::abandonAll);
+    }
+
+    private void abandonAll() {
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            if (!exchange.closed) {
+                abandon(exchange);
+            }
+        }
+    }
+
     void clientDisconnected(Exchange exchange) {
         if (!exchange.closed) {
             close(exchange);
@@ -339,7 +357,7 @@
             return;
         }
         double nowMs = clock.nowMs();
-        double remainingMs = exchange.deadlineMs - nowMs;
+        double remainingMs = Math.min(exchange.deadlineMs, answerByMs) - nowMs;
         double attemptTimeoutMs = timeoutMs == 0 ? remainingMs : Math.min(timeoutMs, remainingMs);
         Upstreams.Attempt attempt =
                 new Upstreams.Attempt(exchange, exchange.attempts.size(), upstream, nowMs, attemptTimeoutMs);
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -1,5 +1,6 @@
 package gradehub.node;
 
+import gradehub.Balancer.Settings;
 import gradehub.LoadShiftingBalancer;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -38,6 +39,8 @@
     private static final long DISCOVERY_WAIT_MS = 9_000;
 
     private final EventLoop loop;
+    private final Clock clock = new Clock();
+    private final Settings settings;
     private final MemoryBudget memory;
     private final Engine engine;
     private final Discovery discovery;
@@ -56,9 +59,9 @@
 
     private Sidecar(EventLoop loop, Config config, Supplier<ReadAheadChannel> channelFactory) {
         this.loop = loop;
+        settings = config.settings();
         SocketBudget sockets = new SocketBudget(config.sockets());
         memory = new MemoryBudget(config.memoryMb());
-        Clock clock = new Clock();
         engine = new Engine(
                 loop,
                 clock,
@@ -66,9 +69,9 @@
                 sockets,
                 memory,
                 channelFactory,
-                actions -> new LoadShiftingBalancer(config.settings(), config.seed(), actions));
+                actions -> new LoadShiftingBalancer(settings, config.seed(), actions));
         discovery = new Discovery(loop, config, channelFactory, engine);
-        clients = new ClientServer(loop, clock, config.settings(), engine, sockets, memory, discovery::hasList);
+        clients = new ClientServer(loop, clock, settings, engine, sockets, memory, discovery::hasList);
         engine.start(discovery);
         discovery.start(config);
     }
@@ -204,7 +207,6 @@
     /** Exits with status 0; after the shutdown hooks the JVM would exit with the status of the signal. */
     private void stopAndExit(StandardErrorLog log) {
         try {
-            LOG.log(System.Logger.Level.INFO, "stopping");
             stop();
             LOG.log(System.Logger.Level.INFO, "stopped");
             log.flush(LOG_FLUSH_MS);
@@ -215,6 +217,9 @@
     }
 
     void stop() throws InterruptedException {
+        double answerByMs = clock.nowMs() + KillDeadline.answerTimeMs(settings.classes());
+        LOG.log(System.Logger.Level.INFO, "stopping");
+        loop.execute(() -> clients.answerAllBy(answerByMs));
         loop.schedule(
                 () -> {
                     GuardedTask.run("ending connections", this::endConnections);
--- a/sidecar/src/test/java/gradehub/node/StubServer.java
+++ b/sidecar/src/test/java/gradehub/node/StubServer.java
@@ -27,6 +27,11 @@
         return new StubServer(request -> SidecarFixture.answer("200 OK", request.header("X-Txn")));
     }
 
+    /** Creates a server with these answers; null closes the connection with none. */
+    static StubServer answering(Function<RawConnection.Message, String> responder) throws IOException {
+        return new StubServer(responder);
+    }
+
     /** Creates a server that sends this list to each watch, and no changes after it. */
     static StubServer discovery(String list) throws IOException {
         return new StubServer(
@@ -66,7 +71,11 @@
             while (true) {
                 RawConnection.Message request = connection.read();
                 requests.incrementAndGet();
-                connection.send(responder.apply(request));
+                String answer = responder.apply(request);
+                if (answer == null) {
+                    return;
+                }
+                connection.send(answer);
             }
         } catch (IOException e) {
             // The sidecar has closed the connection.
