--- a/sidecar/src/test/java/gradehub/node/StopDeadlineTest.java
+++ b/sidecar/src/test/java/gradehub/node/StopDeadlineTest.java
@@ -1,9 +1,7 @@
 package gradehub.node;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -20,12 +18,6 @@
 class StopDeadlineTest {
 
     private static final String TIMES = "\"aimMs\":20000,\"hardLimitMs\":60000";
-    private static final int COUNTED_DEADLINE_MS = 3000;
-    private static final int KILL_DELAY_MS = 700;
-    /** Requests that arrive later than this after SIGTERM are owed an answer before SIGKILL. */
-    private static final int LATE_MS = 750;
-
-    private static final int BYTE_EVERY_MS = 10;
     private static final int BODY_BYTES = 64 * 1024;
     private static final int LATE_RESET_MS = 2000;
 
@@ -33,7 +25,6 @@
     private SidecarFixture fixture;
     private StubServer upstream;
     private Thread stop;
-    private long stopNanos;
 
     @BeforeEach
     void open() throws Exception {
@@ -91,8 +82,8 @@
         }
     }
 
-    private void stop() {
-        stopNanos = System.nanoTime();
+    private ShutdownTimeline stop(int longestDeadlineMs) {
+        ShutdownTimeline timeline = new ShutdownTimeline(longestDeadlineMs);
         stop = new Thread(() -> {
             try {
                 fixture.sidecar().stop();
@@ -101,10 +92,7 @@
             }
         });
         stop.start();
-    }
-
-    private long sinceStopMs() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopNanos);
+        return timeline;
     }
 
     private static String request(String requestClass) {
@@ -113,24 +101,6 @@
                 : SidecarFixture.postRequest(SidecarFixture.requestId(1), "b".repeat(BODY_BYTES));
     }
 
-    /** Sends a request slowly, so that its last byte is written late in the shutdown. */
-    private void sendSlowly(RawConnection client, String request) throws Exception {
-        client.send(request.substring(0, 1));
-        for (int sent = 1; sinceStopMs() <= LATE_MS; sent++) {
-            client.send(request.substring(sent, sent + 1));
-            TimeUnit.MILLISECONDS.sleep(BYTE_EVERY_MS);
-            if (sinceStopMs() > LATE_MS) {
-                client.send(request.substring(sent + 1));
-            }
-        }
-    }
-
-    private void assertAnsweredBefore(long killMs, RawConnection client) throws IOException {
-        client.setReadTimeoutMs((int) Math.max(1, killMs - sinceStopMs()));
-        int status = client.read().status();
-        assertTrue(sinceStopMs() < killMs, "status " + status + " after " + sinceStopMs() + " ms");
-    }
-
     /** Guards against review case 3: a request taken late in the shutdown had its whole time, which SIGKILL cut off. */
     @ParameterizedTest
     @CsvSource({
@@ -151,9 +121,9 @@
         start(trouble, longestDeadlineMs);
         try (RawConnection client = fixture.client()) {
             client.send("GET /ready HTTP/1.1\r\n\r\n").read();
-            stop();
-            sendSlowly(client, request(requestClass));
-            assertAnsweredBefore(Math.min(longestDeadlineMs, COUNTED_DEADLINE_MS) + KILL_DELAY_MS, client);
+            ShutdownTimeline timeline = stop(longestDeadlineMs);
+            timeline.sendLate(client, request(requestClass));
+            timeline.assertAnsweredBeforeKill(client);
         }
     }
 
@@ -164,8 +134,7 @@
         try (RawConnection client = fixture.client()) {
             client.send(request(SidecarFixture.UNSAFE_CLASS));
             fixture.awaitRequestsInFlight(1);
-            stop();
-            assertAnsweredBefore(COUNTED_DEADLINE_MS + KILL_DELAY_MS, client);
+            stop(60_000).assertAnsweredBeforeKill(client);
         }
     }
 }
