Keep a silent request to discovery open until the next one receives something

Cause: when discovery had said nothing for 3 s, the sidecar closed the request and asked anew after a pause.

Change: a request that is silent for 3 s stays open beside its replacement until that receives something; if it is answered first, no replacement is opened. While both are open, an older list than the latest is passed over. A new address closes both, as before.

Tests: WatchTest, five new cases, in both modes of membership. Four of them failed before (the change on the silent request was not applied); the fifth needs the new accessor. unansweredRequestIsReplacedInTime wanted the hung request to be closed when it is replaced; that is this fault. It now answers the replacement and wants the close then.

--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -73,6 +73,12 @@
     private boolean listApplied;
     private boolean watching;
     private ListRequest watch;
+    /**
+     * A watch, or an unanswered request for one, that has been silent for too long. It stays open until its replacement
+     * receives something: discovery may only be slow, and what it writes to a closed connection would be missed.
+     */
+    private ListRequest silentWatch;
+
     private long reconnectDelayMs;
 
     Discovery(EventLoop loop, Config config, Supplier<ReadAheadChannel> sockets, Engine engine) {
@@ -92,6 +98,11 @@
         return reconnectDelayMs;
     }
 
+    /** Whether a watch is open that has been silent for too long. */
+    boolean isWatchSilent() {
+        return silentWatch != null;
+    }
+
     /** Applies the last known list from the configuration, if any; it may be stale. In push mode, opens the watch. */
     void start(Config config) {
         if (config.known().isObject()) {
@@ -110,6 +121,29 @@
         }
     }
 
+    /** Closes all watches and opens a new one. */
+    void replaceWatch() {
+        closeWatches();
+        subscribe(true);
+    }
+
+    private void closeWatches() {
+        ListRequest closed = watch;
+        watch = null;
+        if (closed != null) {
+            closed.close();
+        }
+        closeSilentWatch();
+    }
+
+    private void closeSilentWatch() {
+        ListRequest closed = silentWatch;
+        silentWatch = null;
+        if (closed != null) {
+            closed.close();
+        }
+    }
+
     /**
      * Blocks until discovery has sent a list or the timeout expires: the list in the configuration may name upstreams
      * that were removed while the sidecar was down. Must not be called on the event loop.
@@ -142,19 +176,17 @@
         revision = -1;
         reconnectDelayMs = 0;
         if (watching) {
-            subscribe(true);
+            replaceWatch();
         }
     }
 
+    /** Opens a watch unless there is one, or closes it. */
     @Override
     public void subscribe(boolean on) {
         watching = on;
-        if (watch != null) {
-            ListRequest replaced = watch;
-            watch = null;
-            replaced.close();
-        }
-        if (on) {
+        if (!on) {
+            closeWatches();
+        } else if (watch == null) {
             watch = new ListRequest(true);
         }
     }
@@ -176,17 +208,38 @@
     }
 
     private void onClosed(ListRequest closed) {
-        if (closed.watch && closed != watch) {
-            return; // the watch was replaced or cancelled
-        }
-        if (closed.watch) {
+        if (closed == silentWatch) {
+            silentWatch = null; // its replacement is open or will be opened
+        } else if (closed.watch && closed == watch) {
             watch = null;
+            openNextWatch();
+        } else if (!closed.watch && polling && !closed.deliveredList) {
+            engine.listFailed();
+        }
+    }
+
+    private void onSilent(ListRequest silent) {
+        closeSilentWatch();
+        silentWatch = silent;
+        watch = null;
+        openNextWatch();
+    }
+
+    private void onInput(ListRequest receiver) {
+        if (receiver == watch) {
+            closeSilentWatch();
+        } else if (receiver == silentWatch && watch == null) {
+            silentWatch = null;
+            watch = receiver;
+            watch.checkIdleTimeout();
         }
+    }
+
+    /** Opens a new watch after a delay. In polling mode the module decides when. */
+    private void openNextWatch() {
         if (polling) {
-            if (closed.watch || !closed.deliveredList) {
-                engine.listFailed();
-            }
-        } else if (closed.watch && watching) {
+            engine.listFailed();
+        } else if (watching) {
             loop.schedule(this::reopenWatch, reconnectDelayMs, TimeUnit.MILLISECONDS);
             reconnectDelayMs =
                     Math.min(maxReconnectDelayMs, Math.max(INITIAL_RECONNECT_DELAY_MS, 2 * reconnectDelayMs));
@@ -280,12 +333,22 @@
         private void checkIdleTimeout() {
             long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastInputNanos);
             if (idleMs >= IDLE_TIMEOUT_MS && channel.isOpenWithoutInput()) {
-                close("no data for " + idleMs + " ms");
+                onIdleTimeout(idleMs);
             } else if (channel.isOpen()) {
                 loop.schedule(this::checkIdleTimeout, Math.max(1, IDLE_TIMEOUT_MS - idleMs), TimeUnit.MILLISECONDS);
             }
         }
 
+        private void onIdleTimeout(long idleMs) {
+            closeReason = "no data for " + idleMs + " ms";
+            if (this == Discovery.this.watch) {
+                closeLog.warn("connection to discovery at " + target + " is silent: " + closeReason);
+                onSilent(this);
+            } else {
+                close(closeReason);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             lastInputNanos = System.nanoTime();
@@ -302,7 +365,11 @@
                 if (content.content().isReadable()) {
                     reconnectDelayMs = 0; // discovery answers: the watch is reopened at once after the next close
                 }
+                boolean received = content.content().isReadable();
                 read(content);
+                if (received && channel.isOpen()) {
+                    onInput(this);
+                }
             }
         }
 
@@ -330,12 +397,16 @@
 
         /** Whether its data may be stale: another watch has replaced it, or the discovery address has changed. */
         private boolean isStale() {
-            return watch && this != Discovery.this.watch || !target.equals(address);
+            boolean replaced = watch && this != Discovery.this.watch && this != silentWatch;
+            return replaced || !target.equals(address);
         }
 
         private void onList(JsonNode list) {
             Update update = members.read(list);
             deliveredList = true;
+            if (silentWatch != null && update.revision() < revision) {
+                return; // the other watch has delivered a later list
+            }
             revision = update.revision();
             apply(update, update.complete() ? ListKind.FULL : ListKind.DELTA);
             firstList.countDown();
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -234,9 +234,14 @@
         return discovery.reconnectDelayMs();
     }
 
+    /** Whether discovery has been silent for too long on a watch that is still open. */
+    boolean isWatchSilent() {
+        return discovery.isWatchSilent();
+    }
+
     /** Closes the watch and opens a new one. */
     void reopenWatch() {
-        discovery.subscribe(true);
+        discovery.replaceWatch();
     }
 
     void endConnections() {
--- a/sidecar/src/test/java/gradehub/node/WatchTest.java
+++ b/sidecar/src/test/java/gradehub/node/WatchTest.java
@@ -20,11 +20,17 @@
 
     @BeforeEach
     void open() throws Exception {
+        start("push");
+    }
+
+    private void start(String membershipMode) throws Exception {
         fixture = new SidecarFixture();
         first = fixture.listener();
         second = fixture.listener();
-        fixture.start(
-                SidecarFixture.list(7, true, SidecarFixture.member("u1", SidecarFixture.address(first), "active")));
+        fixture.startWithSetting(
+                SidecarFixture.list(7, true, SidecarFixture.member("u1", SidecarFixture.address(first), "active")),
+                "\"push\"",
+                "\"" + membershipMode + "\"");
     }
 
     @AfterEach
@@ -159,15 +165,94 @@
         }
     }
 
+    /** Opens a watch and lets it fall silent; returns once the sidecar has requested the list on another one. */
+    private RawConnection awaitReplacement(RawConnection silent) throws Exception {
+        silent.send(SidecarFixture.chunk(""));
+        RawConnection replacement = SidecarFixture.accept(fixture.discovery);
+        assertEquals(
+                "GET /v1/endpoints?watch=1&from=7 HTTP/1.1", replacement.read().startLine());
+        return replacement;
+    }
+
+    /**
+     * Guards against requests to draining upstreams: a silent watch was closed before the next one had answered, and a
+     * slow discovery wrote a change to the closed one.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"push", "ask"})
+    void changeOnSilentWatchIsAppliedUntilTheNextOneAnswers(String mode) throws Exception {
+        fixture.close();
+        start(mode);
+        RawConnection up = openIdleToFirst(1);
+        try (RawConnection silent = fixture.acceptWatch();
+                RawConnection replacement = awaitReplacement(silent)) {
+            silent.send(SidecarFixture.chunk(moved(8)));
+            awaitIdleClose(up);
+            assertServedBy(second, 2);
+            replacement.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(""));
+            assertTrue(silent.awaitClose(), "one watch is enough");
+        }
+    }
+
+    /** Guards against missing the answer of a slow discovery that comes just after 3 s: its request was closed then. */
+    @Test
+    void lateAnswerToAnUnansweredRequestIsUsed() throws Throwable {
+        fixture.close();
+        start("ask");
+        RawConnection up = openIdleToFirst(1);
+        try (RawConnection slow = SidecarFixture.accept(fixture.discovery)) {
+            slow.read();
+            String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(moved(8));
+            // Sent on the event loop, so that it is read before the next request is opened.
+            fixture.awaitOnEventLoop(() -> fixture.sidecar().isWatchSilent() && slow.send(answer) != null);
+            awaitIdleClose(up);
+            assertServedBy(second, 2);
+            fixture.awaitOnEventLoop(() -> !fixture.sidecar().isWatchSilent());
+        }
+    }
+
+    /** An answer from before a change that the silent watch has delivered must not undo that change. */
+    @Test
+    void olderListOfTheNextWatchIsIgnored() throws Exception {
+        RawConnection up = openIdleToFirst(1);
+        try (RawConnection silent = fixture.acceptWatch();
+                RawConnection replacement = awaitReplacement(silent)) {
+            silent.send(SidecarFixture.chunk(moved(9)));
+            awaitIdleClose(up);
+            replacement.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + SidecarFixture.chunk(SidecarFixture.list(
+                            8, true, SidecarFixture.member("u1", SidecarFixture.address(first), "active"))));
+            assertTrue(silent.awaitClose());
+            assertServedBy(second, 2);
+        }
+    }
+
+    /** A silent watch is kept while attempts to replace it fail. */
+    @Test
+    void silentWatchIsKeptIfTheNextOneFails() throws Exception {
+        RawConnection up = openIdleToFirst(1);
+        try (RawConnection silent = fixture.acceptWatch()) {
+            awaitReplacement(silent).reset();
+            RawConnection next = SidecarFixture.accept(fixture.discovery);
+            next.read();
+            silent.send(SidecarFixture.chunk(moved(8)));
+            awaitIdleClose(up);
+            assertServedBy(second, 2);
+            next.close();
+        }
+    }
+
     /** Discovery accepts the connection and then hangs, as it may shortly before it recovers. */
     @Test
     void unansweredRequestIsReplacedInTime() throws Exception {
         RawConnection hung = SidecarFixture.accept(fixture.discovery);
         long hungNanos = System.nanoTime();
         hung.read();
-        SidecarFixture.accept(fixture.discovery).read();
+        RawConnection watch = SidecarFixture.accept(fixture.discovery);
+        watch.read();
         long afterMs = (System.nanoTime() - hungNanos) / 1_000_000;
         assertTrue(afterMs < 5000, "the list must arrive within 6 s, next request came after ms: " + afterMs);
+        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(""));
         assertTrue(hung.awaitClose());
     }
 
