Close a silent watch only when nothing it has received is unread

With both watches read in one turn of the loop, a list that had just come on the silent one was dropped with it, though it counts as told. Read, not seen; WatchTest passes as before. The comments say that a silent call is replaced, no longer closed.

--- a/sidecar/src/main/java/gradehub/DiscoveryTimeouts.java
+++ b/sidecar/src/main/java/gradehub/DiscoveryTimeouts.java
@@ -10,7 +10,7 @@
     static final double UPDATE_DEADLINE_MS = 6000;
     /** The protocol's interval between two lines of a watch while nothing changes. */
     private static final double LINE_INTERVAL_MS = 2000;
-    /** Closes a call that receives nothing: a line is overdue by half an interval. */
+    /** Replaces a call that receives nothing: a line is overdue by half an interval. */
     public static final double IDLE_TIMEOUT_MS = 1.5 * LINE_INTERVAL_MS;
     /** Limit on the time to connect; settings may state a shorter one. */
     public static final double CONNECT_TIMEOUT_MS = LINE_INTERVAL_MS / 4;
--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -31,9 +31,9 @@
 import java.util.function.Supplier;
 
 /**
- * Client of the discovery service, which provides the list of upstreams. In push mode it keeps a watch open and reopens
- * it after a close; in polling mode the balancer decides when to fetch the list. Each full list or delta is passed to
- * the engine as soon as it has been parsed.
+ * Client of the discovery service, which provides the list of upstreams. It keeps a watch open. A watch that closes or
+ * falls silent is followed by another one: after a delay in push mode, in polling mode when the balancer says so. Each
+ * full list or delta is passed to the engine as soon as it has been parsed.
  */
 final class Discovery implements Engine.ListSource {
 
@@ -226,7 +226,7 @@
     }
 
     private void onInput(ListRequest receiver) {
-        if (receiver == watch) {
+        if (receiver == watch && silentWatch != null && silentWatch.channel.isOpenWithoutInput()) {
             closeSilentWatch();
         } else if (receiver == silentWatch && watch == null) {
             silentWatch = null;
