--- a/sidecar/src/test/java/gradehub/node/DiscoveryTest.java
+++ b/sidecar/src/test/java/gradehub/node/DiscoveryTest.java
@@ -98,8 +98,7 @@
                 SidecarFixture.list(7, true, SidecarFixture.member("u1", SidecarFixture.address(upstream), "active")));
         RawConnection watch = SidecarFixture.accept(fixture.discovery);
         assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().startLine());
-        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + SidecarFixture.chunk(SidecarFixture.list(9, false)));
+        watch.send(SidecarFixture.watchAnswer(SidecarFixture.list(9, false)));
         watch.close();
         assertEquals(
                 "GET /v1/endpoints?watch=1&from=9 HTTP/1.1",
--- a/sidecar/src/test/java/gradehub/node/ReloadTest.java
+++ b/sidecar/src/test/java/gradehub/node/ReloadTest.java
@@ -72,9 +72,8 @@
                 connection.read();
                 connection.send(SidecarFixture.answer("200 OK", "one"));
                 assertEquals("one", client.read().body(), "the old list is used until the new one arrives");
-                watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + SidecarFixture.chunk(SidecarFixture.list(
-                                3, true, SidecarFixture.member("u2", SidecarFixture.address(second), "active"))));
+                watch.send(SidecarFixture.watchAnswer(SidecarFixture.list(
+                        3, true, SidecarFixture.member("u2", SidecarFixture.address(second), "active"))));
                 assertTrue(connection.awaitClose());
                 client.send(SidecarFixture.getRequest(SidecarFixture.requestId(2)));
                 assertEquals(
--- a/sidecar/src/test/java/gradehub/node/SidecarFixture.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixture.java
@@ -22,6 +22,7 @@
     static final String SAFE_CLASS = "window-read";
     static final String UNSAFE_CLASS = "event-submit";
 
+    private static final String WATCH_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String SETTINGS = """
             {"instances":1,"tickMs":5.0,"membershipMode":"push","failureDomains":["a","b"],"kinds":["k"],
              "lanes":[
@@ -194,6 +195,19 @@
         return sidecar;
     }
 
+    /** Shuts the sidecar down as SIGTERM does, on a thread that ends with the shutdown. */
+    Thread stopInBackground() {
+        Thread stop = new Thread(() -> {
+            try {
+                sidecar.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stop.start();
+        return stop;
+    }
+
     RawConnection client() throws IOException {
         return RawConnection.connect((InetSocketAddress) sidecar.address());
     }
@@ -241,7 +255,12 @@
     RawConnection acceptWatch() throws IOException {
         RawConnection watch = accept(discovery);
         watch.read();
-        return watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        return watch.send(WATCH_HEAD);
+    }
+
+    /** Returns the answer to a watch up to the end of this line. */
+    static String watchAnswer(String line) {
+        return WATCH_HEAD + chunk(line);
     }
 
     static String chunk(String line) {
--- a/sidecar/src/test/java/gradehub/node/StartFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/StartFaultIT.java
@@ -93,9 +93,8 @@
                     TimeUnit.MILLISECONDS.sleep(1);
                 }
                 assertFalse(sidecar.isReady());
-                watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + SidecarFixture.chunk(SidecarFixture.list(
-                                2, true, SidecarFixture.member("u2", current.address(), "active"))));
+                watch.send(SidecarFixture.watchAnswer(
+                        SidecarFixture.list(2, true, SidecarFixture.member("u2", current.address(), "active"))));
                 sidecar.awaitReady();
                 try (RawConnection client = sidecar.client()) {
                     assertEquals(
--- a/sidecar/src/test/java/gradehub/node/StopDeadlineTest.java
+++ b/sidecar/src/test/java/gradehub/node/StopDeadlineTest.java
@@ -2,9 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.io.IOException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +19,6 @@
     private static final int BODY_BYTES = 64 * 1024;
     private static final int LATE_RESET_MS = 2000;
 
-    private final CountDownLatch ended = new CountDownLatch(1);
     private SidecarFixture fixture;
     private StubServer upstream;
     private Thread stop;
@@ -33,7 +30,6 @@
 
     @AfterEach
     void close() throws Exception {
-        ended.countDown();
         if (stop != null) {
             stop.join(RawConnection.TIMEOUT_MS);
             assertFalse(stop.isAlive(), "the sidecar did not stop");
@@ -45,7 +41,7 @@
     }
 
     private void start(String trouble, int longestDeadlineMs) throws Exception {
-        upstream = StubServer.answering(behaviour(trouble));
+        upstream = upstream(trouble);
         String phase = trouble.equals("waits for an upstream") ? "leaving" : "active";
         fixture.startWithSetting(
                 SidecarFixture.list(
@@ -57,41 +53,21 @@
                 "\"aimMs\":" + longestDeadlineMs + ",\"hardLimitMs\":" + longestDeadlineMs);
     }
 
-    /** What the upstreams do; null closes the connection with no answer. */
-    private Function<RawConnection.Message, String> behaviour(String trouble) {
-        return request -> {
-            switch (trouble) {
-                case "turns away" -> {
-                    return SidecarFixture.answer("503 Service Unavailable", "", "X-Turned-Away: 1");
-                }
-                case "resets late" -> awaitEnd(LATE_RESET_MS);
-                case "answers in part" -> {
-                    return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
-                }
-                default -> awaitEnd(RawConnection.TIMEOUT_MS);
-            }
-            return null;
+    private static StubServer upstream(String trouble) throws IOException {
+        return switch (trouble) {
+            case "resets late" -> StubServer.hanging(LATE_RESET_MS);
+            case "turns away" ->
+                StubServer.answering(
+                        request -> SidecarFixture.answer("503 Service Unavailable", "", "X-Turned-Away: 1"));
+            case "answers in part" ->
+                StubServer.answering(request -> "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+            default -> StubServer.hanging(RawConnection.TIMEOUT_MS);
         };
     }
 
-    private void awaitEnd(int atMostMs) {
-        try {
-            ended.await(atMostMs, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private ShutdownTimeline stop(int longestDeadlineMs) {
         ShutdownTimeline timeline = new ShutdownTimeline(longestDeadlineMs);
-        stop = new Thread(() -> {
-            try {
-                fixture.sidecar().stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stop.start();
+        stop = fixture.stopInBackground();
         return timeline;
     }
 
--- a/sidecar/src/test/java/gradehub/node/StopSignalsIT.java
+++ b/sidecar/src/test/java/gradehub/node/StopSignalsIT.java
@@ -4,8 +4,6 @@
 
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -20,9 +18,8 @@
     /** Guards against a signal during the shutdown that ends the process early, or puts off the end of a request. */
     @Test
     void furtherSignalsChangeNothingForRequestsOfTheShutdown() throws Exception {
-        CountDownLatch ended = new CountDownLatch(1);
         try (SidecarFixture fixture = new SidecarFixture();
-                StubServer hanging = StubServer.answering(request -> awaitQuietly(ended));
+                StubServer hanging = StubServer.hanging(RawConnection.TIMEOUT_MS);
                 StubServer discovery = StubServer.discovery(SidecarFixture.listOf(hanging.address()));
                 SidecarProcess sidecar = SidecarProcess.start(
                         folder, fixture.config(null).put("discovery", discovery.address()), Map.of())) {
@@ -43,18 +40,6 @@
             }
             sidecar.process().waitFor();
             assertEquals(0, sidecar.process().exitValue());
-        } finally {
-            ended.countDown();
         }
     }
-
-    /** Returns null, which closes the connection. */
-    private static String awaitQuietly(CountDownLatch ended) {
-        try {
-            ended.await(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        return null;
-    }
 }
--- a/sidecar/src/test/java/gradehub/node/StopTest.java
+++ b/sidecar/src/test/java/gradehub/node/StopTest.java
@@ -37,14 +37,7 @@
     }
 
     private void stop() {
-        stop = new Thread(() -> {
-            try {
-                fixture.sidecar().stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stop.start();
+        stop = fixture.stopInBackground();
     }
 
     private void awaitStopped() throws Exception {
--- a/sidecar/src/test/java/gradehub/node/StubServer.java
+++ b/sidecar/src/test/java/gradehub/node/StubServer.java
@@ -5,6 +5,8 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
@@ -12,7 +14,9 @@
 final class StubServer implements AutoCloseable {
 
     private final ServerSocket listener;
+    /** Returns the answer to a request, or null to close the connection without one. */
     private final Function<RawConnection.Message, String> responder;
+
     private final List<Socket> connections = new ArrayList<>();
     private final AtomicInteger requests = new AtomicInteger();
 
@@ -27,15 +31,27 @@
         return new StubServer(request -> SidecarFixture.answer("200 OK", request.header("X-Txn")));
     }
 
-    /** Creates a server with these answers; null closes the connection with none. */
+    /** Creates a server with these answers. */
     static StubServer answering(Function<RawConnection.Message, String> responder) throws IOException {
         return new StubServer(responder);
     }
 
+    /** Creates a server that answers nothing and closes the connection this long after a request. */
+    static StubServer hanging(long closeAfterMs) throws IOException {
+        CountDownLatch neverReleased = new CountDownLatch(1);
+        return new StubServer(request -> {
+            try {
+                neverReleased.await(closeAfterMs, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return null;
+        });
+    }
+
     /** Creates a server that sends this list to each watch, and no changes after it. */
     static StubServer discovery(String list) throws IOException {
-        return new StubServer(
-                request -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(list));
+        return new StubServer(request -> SidecarFixture.watchAnswer(list));
     }
 
     String address() {
--- a/sidecar/src/test/java/gradehub/node/WatchTest.java
+++ b/sidecar/src/test/java/gradehub/node/WatchTest.java
@@ -159,7 +159,7 @@
             assertTrue(
                     afterMs < 5000,
                     "missed changes count as reported after 6 s, reopened too late, after ms: " + afterMs);
-            watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(moved(9)));
+            watch.send(SidecarFixture.watchAnswer(moved(9)));
             awaitIdleClose(up);
             assertServedBy(second, 2);
         }
@@ -189,7 +189,7 @@
             silent.send(SidecarFixture.chunk(moved(8)));
             awaitIdleClose(up);
             assertServedBy(second, 2);
-            replacement.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(""));
+            replacement.send(SidecarFixture.watchAnswer(""));
             assertTrue(silent.awaitClose(), "one watch is enough");
         }
     }
@@ -202,7 +202,7 @@
         RawConnection up = openIdleToFirst(1);
         try (RawConnection slow = SidecarFixture.accept(fixture.discovery)) {
             slow.read();
-            String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(moved(8));
+            String answer = SidecarFixture.watchAnswer(moved(8));
             // Sent on the event loop, so that it is read before the next request is opened.
             fixture.awaitOnEventLoop(() -> fixture.sidecar().isWatchSilent() && slow.send(answer) != null);
             awaitIdleClose(up);
@@ -219,9 +219,8 @@
                 RawConnection replacement = awaitReplacement(silent)) {
             silent.send(SidecarFixture.chunk(moved(9)));
             awaitIdleClose(up);
-            replacement.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + SidecarFixture.chunk(SidecarFixture.list(
-                            8, true, SidecarFixture.member("u1", SidecarFixture.address(first), "active"))));
+            replacement.send(SidecarFixture.watchAnswer(SidecarFixture.list(
+                    8, true, SidecarFixture.member("u1", SidecarFixture.address(first), "active"))));
             assertTrue(silent.awaitClose());
             assertServedBy(second, 2);
         }
@@ -252,7 +251,7 @@
         watch.read();
         long afterMs = (System.nanoTime() - hungNanos) / 1_000_000;
         assertTrue(afterMs < 5000, "the list must arrive within 6 s, next request came after ms: " + afterMs);
-        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(""));
+        watch.send(SidecarFixture.watchAnswer(""));
         assertTrue(hung.awaitClose());
     }
 
@@ -268,7 +267,7 @@
         });
         RawConnection watch = SidecarFixture.accept(fixture.discovery);
         assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().startLine());
-        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(moved(9)));
+        watch.send(SidecarFixture.watchAnswer(moved(9)));
         awaitIdleClose(up);
         assertServedBy(second, 2);
         assertTrue(old.awaitClose());
@@ -286,7 +285,7 @@
         busy.send(SidecarFixture.answer("503 Service Unavailable", ""));
         RawConnection watch = SidecarFixture.accept(fixture.discovery);
         assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", watch.read().startLine());
-        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + SidecarFixture.chunk(moved(9)));
+        watch.send(SidecarFixture.watchAnswer(moved(9)));
         awaitIdleClose(up);
         assertServedBy(second, 2);
     }
