SlowRequestsIT: let the sidecar learn the class's latency before requests are held up

The class's aim is 20 s, so a sidecar that has answered none of its requests expects 2.5 s for the median and refuses what has under 1.25 s left; 1600 ms less the wait is under that from 350 ms on. The test meant a sidecar in service: it now answers 20 ordinary requests first.

--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -26,6 +26,8 @@
     private static final int PIPELINED_BATCHES = 300;
     private static final int PEERS = 500;
     private static final int TINY_HEADERS = 4000;
+    /** The sidecar knows the latency of a class from its answers; before, it refuses requests with little time left. */
+    private static final int FIRST_REQUESTS = 20;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
     private static final int ORDINARY_REMAINING_MS = 1600;
 
@@ -47,6 +49,11 @@
         discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
         sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
         sidecar.awaitReady();
+        try (RawConnection first = sidecar.client()) {
+            for (int i = 0; i < FIRST_REQUESTS; i++) {
+                assertServed(first);
+            }
+        }
     }
 
     @AfterEach
