--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
@@ -0,0 +1,177 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** One client of the packaged sidecar sends small requests on one connection at full speed, beside an ordinary one. */
+class RequestFloodIT {
+
+    /** What the flood consists of; the sidecar answers all of it itself. */
+    private enum Flood {
+        READINESS_CHECKS,
+        READINESS_CHECKS_NOT_READ,
+        READINESS_CHECKS_UNDER_NEW_NAMES,
+        READINESS_CHECKS_IN_SMALL_CHUNKS,
+        REFUSED_REQUESTS
+    }
+
+    private static final int ORDINARY_REQUESTS = 40;
+    private static final int FIRST_REQUESTS = 20;
+    private static final int REMAINING_MS = 1600;
+    /** A request is lost if its answer comes later than half a second after the client's waiting time. */
+    private static final int LOST_AFTER_MS = REMAINING_MS + 500;
+    /** A sidecar may be held up for this long; a flood has to delay others by less. */
+    private static final long MAX_DELAY_MS = 150;
+    /** The memory limit of the scored days. */
+    private static final long MEMORY_LIMIT_KB = 192 * 1024;
+
+    private static final int BATCH_BYTES = 64 * 1024;
+    private static final int CHUNKS = 10_000;
+
+    @TempDir
+    private Path folder;
+
+    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicBoolean stopped = new AtomicBoolean();
+
+    private SidecarFixture fixture;
+    private StubServer upstream;
+    private StubServer discovery;
+    private SidecarProcess sidecar;
+
+    @BeforeEach
+    void open() throws Exception {
+        fixture = new SidecarFixture();
+        upstream = StubServer.upstream();
+        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
+        sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
+        sidecar.awaitReady();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        sidecar.close();
+        discovery.close();
+        upstream.close();
+        fixture.close();
+    }
+
+    private String nextId() {
+        return SidecarFixture.requestId(requests.incrementAndGet());
+    }
+
+    private String nextRequest(Flood flood) {
+        return switch (flood) {
+            case READINESS_CHECKS, READINESS_CHECKS_NOT_READ -> "GET /ready HTTP/1.1\r\n\r\n";
+            case READINESS_CHECKS_UNDER_NEW_NAMES ->
+                "GET /ready/" + nextId() + " HTTP/1.1\r\nX-" + nextId() + ": 1\r\n\r\n";
+            case READINESS_CHECKS_IN_SMALL_CHUNKS ->
+                "POST /ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nb\r\n".repeat(CHUNKS)
+                        + "0\r\n\r\n";
+            case REFUSED_REQUESTS -> SidecarFixture.getRequest(nextId(), 0);
+        };
+    }
+
+    private byte[] nextBatch(Flood flood) {
+        StringBuilder batch = new StringBuilder();
+        while (batch.length() < BATCH_BYTES) {
+            batch.append(nextRequest(flood));
+        }
+        return batch.toString().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private Thread startThread(Runnable action) {
+        Thread thread = new Thread(action);
+        thread.start();
+        return thread;
+    }
+
+    private void send(Socket client, Flood flood) {
+        try {
+            while (!stopped.get()) {
+                client.getOutputStream().write(nextBatch(flood));
+            }
+        } catch (IOException e) {
+            // The sidecar has ended the connection, or the test is over.
+        }
+    }
+
+    private void discardAnswers(Socket client) {
+        try {
+            InputStream in = client.getInputStream();
+            byte[] answers = new byte[BATCH_BYTES];
+            while (in.read(answers) >= 0) {
+                // The answers of the flood do not matter.
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
+    /** Returns how long an ordinary request takes, on a new connection. */
+    private double ordinaryLatencyMs() throws IOException {
+        long startNanos = System.nanoTime();
+        try (RawConnection client = sidecar.client()) {
+            client.setReadTimeoutMs(LOST_AFTER_MS);
+            client.send(SidecarFixture.getRequest(nextId(), REMAINING_MS));
+            assertEquals(200, client.read().status());
+        }
+        return (System.nanoTime() - startNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+    }
+
+    private List<Double> ordinaryLatenciesMs(int count) throws IOException {
+        List<Double> latencies = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            latencies.add(ordinaryLatencyMs());
+        }
+        return latencies;
+    }
+
+    private long peakMemoryKb() throws IOException {
+        String status = Files.readString(Path.of("/proc/" + sidecar.process().pid() + "/status"));
+        String peak = status.lines()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .findFirst()
+                .orElseThrow();
+        return Long.parseLong(peak.replaceAll("\\D", ""));
+    }
+
+    /** Guards against one client whose requests, answered by the sidecar itself, keep the event loop from all others. */
+    @ParameterizedTest
+    @EnumSource
+    void floodOnOneConnectionDoesNotDelayOtherClients(Flood flood) throws Exception {
+        ordinaryLatenciesMs(FIRST_REQUESTS); // the sidecar learns the latency of the class
+        List<Double> latencies;
+        Thread sender;
+        try (Socket client = sidecar.socket()) {
+            sender = startThread(() -> send(client, flood));
+            if (flood != Flood.READINESS_CHECKS_NOT_READ) {
+                startThread(() -> discardAnswers(client));
+            }
+            latencies = ordinaryLatenciesMs(ORDINARY_REQUESTS);
+            stopped.set(true);
+        }
+        sender.join();
+        double median = latencies.stream().sorted().toList().get(ORDINARY_REQUESTS / 2);
+        assertTrue(median <= MAX_DELAY_MS, "median " + median + " ms of " + latencies);
+        assertTrue(peakMemoryKb() <= MEMORY_LIMIT_KB, peakMemoryKb() + " KB");
+    }
+}
--- a/sidecar/src/test/java/gradehub/node/SidecarProcess.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -53,6 +53,10 @@
         return config;
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
     String log() throws IOException {
         return Files.readString(output);
     }
