Begin no attempt while a client's close may lie behind unread input

Cause: the reading of a connection pauses at four open requests. What the client sends then stays in the buffers of the system, and its close behind it. The check before each attempt read up to 128 KiB ahead; with more than that unread, or with no memory to read it, it took the client for connected.

Change: the check has a third result, unknown, when it has not read all input. No attempt begins then: a request without another attempt in flight ends, refused (503) if nothing of it can have run or it may run again, failed (502) otherwise. A larger buffer would only move the limit. With an end that is not seen there is now no attempt, whatever the amount that is left behind. Connections whose reading is paused are also checked for a close each 50 ms, so that attempts in flight are cancelled.

Measured: ClientLeavesIT#nothingIsSentOnAfterTheClientOfUnreadRequestsLeft failed in 4 of 4 cases before and passes.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -111,8 +111,8 @@
         }
 
         @Override
-        public boolean isDisconnected() {
-            return channel.isClosedByPeer();
+        public ReadAheadChannel.PeerState state() {
+            return channel.peerState();
         }
 
         @Override
@@ -349,7 +349,9 @@
         if (server.closing()) {
             closeIfIdle(nowMs);
         }
-        if (drainingSinceMs > 0 && nowMs - drainingSinceMs > DRAIN_TIMEOUT_MS
+        boolean leftUnseen = !channel.config().isAutoRead() && channel.isClosedByPeer();
+        if (leftUnseen
+                || drainingSinceMs > 0 && nowMs - drainingSinceMs > DRAIN_TIMEOUT_MS
                 || writingSinceMs > 0 && nowMs - writingSinceMs > ANSWER_READ_TIMEOUT_MS) {
             close();
         } else if (receivingSinceMs > 0 && nowMs > receiveDeadlineMs() && isInputRead()) {
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -37,8 +37,8 @@
     interface Client {
         void answer(Answer answer);
 
-        /** Whether the connection has ended, even if the event loop has not processed its end yet. */
-        boolean isDisconnected();
+        /** The state of the connection, also where the event loop has not processed a change yet. */
+        ReadAheadChannel.PeerState state();
 
         /** Called once, when the request is closed and no attempt holds it any more. */
         void completed();
@@ -74,6 +74,26 @@
         ClientRequest request() {
             return request;
         }
+
+        // Loops in place of streams: lambdas on rare paths would be linked while requests wait.
+
+        private boolean mayHaveRun() {
+            for (Upstreams.Attempt attempt : attempts) {
+                if (attempt.mayHaveRun()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        private boolean hasAttemptBeside(Upstreams.Attempt unsent) {
+            for (Upstreams.Attempt attempt : attempts) {
+                if (attempt != unsent && attempt.isInFlight()) {
+                    return true;
+                }
+            }
+            return false;
+        }
     }
 
     /** An event for the module; {@code exchange} is null if it does not belong to a single request. */
@@ -200,15 +220,42 @@
     @Override
     public boolean canStillSend(Upstreams.Attempt attempt) {
         Exchange exchange = attempt.exchange;
-        if (exchange.client.isDisconnected()) {
-            clientDisconnected(exchange);
+        return switch (exchange.client.state()) {
+            case CONNECTED -> !exchange.closed && isSafeToSend(attempt);
+            case CLOSED -> {
+                clientDisconnected(exchange);
+                yield false;
+            }
+            case UNKNOWN -> {
+                endUnlessAttempted(exchange, attempt);
+                yield false;
+            }
+        };
+    }
+
+    /**
+     * Answers a request whose client may have left, as no attempt may begin for it. An attempt that began before may
+     * still serve it.
+     */
+    private void endUnlessAttempted(Exchange exchange, Upstreams.Attempt unsent) {
+        if (exchange.closed || exchange.hasAttemptBeside(unsent)) {
+            return;
         }
-        return !exchange.closed && isSafeToSend(attempt);
+        finish(exchange, isHarmlessToRepeat(exchange) ? Answer.refused(0) : Answer.failed());
+        notifyClientLeft(exchange);
+    }
+
+    private boolean isHarmlessToRepeat(Exchange exchange) {
+        return spec(exchange).effect() == Effect.SAFE || !exchange.mayHaveRun();
+    }
+
+    private RequestClass spec(Exchange exchange) {
+        return settings.classes().get(exchange.request.requestClass());
     }
 
     /** A keyed request that may have run is retried only while upstreams still remember its idempotency key. */
     private boolean isSafeToSend(Upstreams.Attempt attempt) {
-        RequestClass spec = settings.classes().get(attempt.exchange.request.requestClass());
+        RequestClass spec = spec(attempt.exchange);
         double windowStartMs = clock.nowMs() - spec.windowMs();
         return spec.effect() != Effect.KEYED
                 || attempt.exchange.attempts.stream()
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -17,13 +17,25 @@
  */
 final class ReadAheadChannel extends NioSocketChannel {
 
-    /** Limit of the buffer, larger than any request. A close behind more input than this, or than memory allows, is not detected. */
+    /** What a check finds out about the peer. */
+    enum PeerState {
+        /** All input has been read, and the peer has not closed or reset the connection. */
+        CONNECTED,
+        /** The peer has closed or reset the connection, or this side has closed it. */
+        CLOSED,
+        /** There is more input than may be read ahead, so that a close may follow it. */
+        UNKNOWN
+    }
+
+    /** Limit of the buffer, larger than any request; beyond it, or beyond the memory, a peer's state is unknown. */
     private static final int MAX_BUFFERED_BYTES = 1 << 17;
 
     private static final int INITIAL_BUFFER_BYTES = 1024;
 
     /** Result of a socket read at the end of the stream; other negative results do not mean the end. */
     private static final int END_OF_STREAM = -1;
+    /** Result of a socket read when no input is available. */
+    private static final int NO_INPUT = 0;
     /** Limit of interrupted reads in one check; the event loop reads the rest. */
     private static final int MAX_INTERRUPTED_READS = 16;
 
@@ -32,6 +44,8 @@
     private final MemoryBudget.Reservation memory;
 
     private boolean inputEnded;
+    /** Whether the latest check has read all input that had arrived. */
+    private boolean allInputRead;
     /** Null until the channel is registered with an event loop. */
     private RegistrationMonitor registrationMonitor;
     /** Whether the read in progress was started without a readiness report from the selector. */
@@ -64,7 +78,15 @@
         return !isClosedByPeer() && buffered == null;
     }
 
-    /** Returns whether the peer has closed or reset the connection, or this side has closed it. A silent peer has not. */
+    /** Checks whether the peer is still connected, as far as the input that may be read ahead shows it. */
+    PeerState peerState() {
+        if (isClosedByPeer()) {
+            return PeerState.CLOSED;
+        }
+        return allInputRead ? PeerState.CONNECTED : PeerState.UNKNOWN;
+    }
+
+    /** Returns whether the peer is known to have closed or reset the connection, or this side has closed it. */
     boolean isClosedByPeer() {
         if (isActive() && !inputEnded) {
             fillBuffer();
@@ -79,7 +101,9 @@
         }
         int before = buffered.readableBytes();
         try {
-            inputEnded = readIntoBuffer() == END_OF_STREAM;
+            int read = readIntoBuffer();
+            inputEnded = read == END_OF_STREAM;
+            allInputRead = read == NO_INPUT || inputEnded;
         } catch (IOException e) {
             inputEnded = true;
             scheduleClose();
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -35,7 +35,7 @@
     private static final double REUSE_DELAY_MS = 50;
 
     interface Listener {
-        /** Whether the attempt's request is unanswered, its client connected, and its class permits sending it now. */
+        /** Whether the attempt's request is unanswered, its client is known to be connected, and its class permits it now. */
         boolean canStillSend(Attempt attempt);
 
         /** Called once at the end of each attempt; {@code answer} is null unless the upstream gave the final answer. */
@@ -69,6 +69,10 @@
             return elapsedMs;
         }
 
+        boolean isInFlight() {
+            return outcome == null;
+        }
+
         boolean mayHaveRun() {
             return written && (outcome == null || !outcome.provesNotRun());
         }
--- a/sidecar/src/test/java/gradehub/node/ClientLeavesIT.java
+++ b/sidecar/src/test/java/gradehub/node/ClientLeavesIT.java
@@ -4,11 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gradehub.node.PipeliningClient.Leaving;
 import java.io.IOException;
-import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -25,11 +22,6 @@
 /** Clients of the packaged sidecar that close their connection while their requests wait. */
 class ClientLeavesIT {
 
-    private enum Leaving {
-        CLOSE,
-        RESET
-    }
-
     private static final String HELD_ID_PREFIX = "e";
     private static final String TURNED_AWAY = SidecarFixture.answer("503 Busy", "", "X-Turned-Away: 1");
     /** Each is answered after a turn of the event loop, in which the sidecar can see what has arrived before. */
@@ -99,25 +91,9 @@
         return HELD_ID_PREFIX + SidecarFixture.requestId(++requests).substring(HELD_ID_PREFIX.length());
     }
 
-    /** Sends as many of these requests as the buffers of both ends take. */
-    private void fillBuffers(SocketChannel client, int bodyBytes) throws IOException {
-        client.configureBlocking(false);
-        String body = "b".repeat(bodyBytes);
-        int written;
-        do {
-            String id = nextHeldId();
-            String request = bodyBytes == 0 ? SidecarFixture.getRequest(id) : SidecarFixture.postRequest(id, body);
-            ByteBuffer bytes = ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII));
-            client.write(bytes);
-            written = bytes.remaining();
-        } while (written == 0);
-    }
-
-    private static void leave(SocketChannel client, Leaving leaving) throws IOException {
-        if (leaving == Leaving.RESET) {
-            client.setOption(StandardSocketOptions.SO_LINGER, 0);
-        }
-        client.close();
+    private String nextRequest(int bodyBytes) {
+        String id = nextHeldId();
+        return bodyBytes == 0 ? SidecarFixture.getRequest(id) : SidecarFixture.postRequest(id, "b".repeat(bodyBytes));
     }
 
     /** Lets the sidecar read and process all that has arrived. */
@@ -135,14 +111,12 @@
     @CsvSource({"CLOSE, 60000", "RESET, 60000", "CLOSE, 0", "RESET, 0"})
     void nothingIsSentOnAfterTheClientOfUnreadRequestsLeft(Leaving leaving, int bodyBytes) throws Exception {
         start(true);
-        try (SocketChannel client = SocketChannel.open(sidecar.address())) {
-            // The first request is alone, so that it is forwarded and waits for its retry.
-            client.write(ByteBuffer.wrap(
-                    SidecarFixture.postRequest(nextHeldId(), "x").getBytes(StandardCharsets.US_ASCII)));
+        try (PipeliningClient client = new PipeliningClient(sidecar.address())) {
+            client.send(nextRequest(1)); // alone, so that it is forwarded and waits for its retry
             assertTrue(attemptReceived.await(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
-            fillBuffers(client, bodyBytes);
+            client.fillBuffers(() -> nextRequest(bodyBytes));
             awaitProcessed();
-            leave(client, leaving);
+            client.leave(leaving);
         }
         awaitProcessed();
         int before = heldAttempts.size();
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -70,8 +70,8 @@
             }
 
             @Override
-            public boolean isDisconnected() {
-                return false;
+            public ReadAheadChannel.PeerState state() {
+                return ReadAheadChannel.PeerState.CONNECTED;
             }
 
             @Override
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -0,0 +1,113 @@
+package gradehub.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gradehub.node.PipeliningClient.Leaving;
+import java.io.IOException;
+import java.net.ServerSocket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Clients that send more than the sidecar reads ahead: behind it, the end of their connection can't be seen. */
+class UnreadInputTest {
+
+    private static final String LONG_BODY = "b".repeat(60_000);
+    private static final int REQUESTS_UNTIL_PAUSE = 4;
+
+    private SidecarFixture fixture;
+    private ServerSocket upstream;
+    private int requests;
+
+    @BeforeEach
+    void open() throws Exception {
+        fixture = new SidecarFixture();
+        upstream = fixture.listener();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        fixture.close();
+    }
+
+    private static String list(int revision, ServerSocket listener, String phase) {
+        return SidecarFixture.list(
+                revision, revision == 1, SidecarFixture.member("u1", SidecarFixture.address(listener), phase));
+    }
+
+    private String nextRequest() {
+        return SidecarFixture.postRequest(SidecarFixture.requestId(++requests), LONG_BODY);
+    }
+
+    /** Asserts that the first request which reaches the upstream is that of another client. */
+    private void assertNothingElseIsForwarded() throws IOException {
+        try (RawConnection other = fixture.client()) {
+            String id = SidecarFixture.requestId(++requests);
+            other.send(SidecarFixture.postRequest(id, "x"));
+            assertEquals(id, SidecarFixture.accept(upstream).read().header("X-Txn"));
+        }
+    }
+
+    /** Guards against first attempts for queued requests whose client has left behind unread input. */
+    @ParameterizedTest
+    @EnumSource
+    void queuedRequestsAreNotForwardedAfterTheirClientLeft(Leaving leaving) throws Exception {
+        fixture.start(list(1, upstream, "leaving"));
+        try (RawConnection watch = fixture.acceptWatch();
+                PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
+            client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+            fixture.awaitRequestsInFlight(1);
+            client.fillBuffers(this::nextRequest);
+            client.leave(leaving);
+            watch.send(SidecarFixture.chunk(list(2, upstream, "active")));
+            fixture.awaitRequestsInFlight(0);
+            assertNothingElseIsForwarded();
+        }
+    }
+
+    /** Guards against the first byte on a connection that comes up after the client has left behind unread input. */
+    @ParameterizedTest
+    @EnumSource
+    void connectingRequestIsNotForwardedAfterItsClientLeft(Leaving leaving) throws Exception {
+        try (SidecarFixture.FullBacklogListener slow = new SidecarFixture.FullBacklogListener()) {
+            fixture.start(list(1, slow.listener, "active"));
+            try (PipeliningClient client =
+                    new PipeliningClient(fixture.sidecar().address())) {
+                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+                fixture.awaitRequestsInFlight(1);
+                client.fillBuffers(this::nextRequest);
+                client.leave(leaving);
+            }
+            assertTrue(slow.drainAndAccept().awaitClose(), "nothing is written to the connection");
+        }
+    }
+
+    /** Guards against attempts that run on for a client that has left, while the reading of its requests is paused. */
+    @Test
+    void attemptsAreCancelledWhenTheClientOfUnreadRequestsLeaves() throws Exception {
+        fixture.start(list(1, upstream, "active"));
+        RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
+        try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
+            for (int i = 0; i < held.length; i++) {
+                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+                held[i] = SidecarFixture.accept(upstream);
+                held[i].read();
+            }
+            client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+            client.leave(Leaving.CLOSE);
+        }
+        fixture.sidecar().loop().submit(fixture.sidecar()::closeOverdueClients).get();
+        assertEquals(
+                0,
+                fixture.sidecar()
+                        .loop()
+                        .submit(fixture.sidecar().engine()::requestsInFlight)
+                        .get());
+        for (RawConnection connection : held) {
+            assertTrue(connection.awaitClose());
+        }
+    }
+}
