Send no request again under an identifier that may have run

Cause: the identifier of a request was free as soon as its client left or got an answer, whatever its attempts had done. Another request with it was a new one, also where the class must never run twice. Evidence: on a client left 100 ms after its unsafe request had reached an upstream; the same request from another client, 5 and 300 ms later, with and without cancelling, was forwarded again and answered 200 (4 of 4). While the reading of the first connection was paused, the second request got 409 instead, also of a safe class, until the first one ended by itself.

A request whose identifier is open first looks whether the earlier client has left. Clients use a new identifier for each retry (PROTOCOL), so that no retry is refused.

Also: UnreadInputTest's connecting case had a cancelled connect to wait for in one run (accept timed out, after a reset); it now runs without cancelling, which it has to for the check before the first byte.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -79,14 +79,16 @@
     }
 
     /** A request whose answer has not been sent, and the answer once it is available. */
-    private final class PendingAnswer implements Engine.Client {
+    private final class PendingAnswer implements Engine.Client, RequestIds.Holder {
         private boolean keepAlive;
         /** The memory of the request. */
         private final MemoryBudget.Reservation memory;
         /** The memory of the answer, until it is written. */
         private final MemoryBudget.Reservation answerMemory = server.memory().reservation();
 
+        /** The identifier that this request holds, or null if it is not submitted. */
         private String id;
+
         private Engine.Exchange exchange;
         private FullHttpResponse response;
 
@@ -116,27 +118,28 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(boolean mustNotRepeat) {
             memory.release();
+            if (id != null) {
+                server.closeId(id, mustNotRepeat);
+            }
+        }
+
+        @Override
+        public void endIfClientLeft() {
+            if (exchange != null && channel.isClosedByPeer()) {
+                server.clientClosed(exchange);
+            }
         }
 
         private void answer(FullHttpResponse message) {
-            release();
-            if (exchange == null) {
-                completed();
+            if (id == null) {
+                completed(false); // it was never submitted
             }
             response = message;
             answerMemory.grow(message.content().readableBytes());
             flushAnswers();
         }
-
-        /** Releases the request's identifier, so that another request may use it. */
-        private void release() {
-            if (id != null) {
-                server.releaseId(id);
-            }
-            id = null;
-        }
     }
 
     private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
@@ -223,7 +226,7 @@
 
     private void submit(FullHttpRequest message, PendingAnswer next) {
         try {
-            ClientRequest request = server.parse(message);
+            ClientRequest request = server.open(message, next);
             next.id = request.id();
             next.exchange = server.submit(request, maxUnreadMs(), next);
         } catch (RejectedException e) {
@@ -408,7 +411,6 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.connections().closed(this);
         for (PendingAnswer request = pending.poll(); request != null; request = pending.poll()) {
-            request.release();
             if (request.response != null) {
                 request.response.release();
                 request.answerMemory.release();
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -12,10 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /** Server for the application's clients: accepts connections within the socket budget and submits requests to the engine. */
@@ -33,8 +30,7 @@
     private final BooleanSupplier hasUpstreamList;
     private final ClientConnections connections;
     private final EventLoopLag lag;
-    /** Identifiers of the requests that have not been answered yet. */
-    private final Set<String> openRequestIds = new HashSet<>();
+    private final RequestIds ids = new RequestIds();
 
     private ClientListener listener;
     /** When the server began to close connections after their current answer; 0 before that. */
@@ -175,12 +171,10 @@
                 && !message.headers().contains(ClientRequest.ID);
     }
 
-    ClientRequest parse(FullHttpRequest message) throws RejectedException {
+    /** Parses a request and reserves its identifier for {@code holder}. */
+    ClientRequest open(FullHttpRequest message, RequestIds.Holder holder) throws RejectedException {
         ClientRequest request = ClientRequest.of(message, settings);
-        if (!openRequestIds.add(request.id())) {
-            // With two open requests of one identifier, neither client could tell which answer is its own.
-            throw new RejectedException(HttpResponseStatus.CONFLICT, "a request of this identifier is open");
-        }
+        ids.open(request.id(), holder, clock.nowMs());
         return request;
     }
 
@@ -198,7 +192,8 @@
         engine.clientDisconnected(exchange);
     }
 
-    void releaseId(String id) {
-        openRequestIds.remove(id);
+    /** Releases the identifier of a request, unless it may have run and {@code mustNotRepeat}. */
+    void closeId(String id, boolean mustNotRepeat) {
+        ids.close(id, mustNotRepeat, clock.nowMs());
     }
 }
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -40,8 +40,11 @@
         /** The state of the connection, also where the event loop has not processed a change yet. */
         ReadAheadChannel.PeerState state();
 
-        /** Called once, when the request is closed and no attempt holds it any more. */
-        void completed();
+        /**
+         * Called once, when the request is closed and no attempt holds it any more. {@code mustNotRepeat} says that an
+         * upstream may have run it and that its class forbids a second run.
+         */
+        void completed(boolean mustNotRepeat);
     }
 
     /** Provides the list of upstreams when the module asks for it. */
@@ -366,7 +369,7 @@
 
     private void complete(Exchange exchange) {
         if (exchanges.remove(exchange.id) != null) {
-            exchange.client.completed();
+            exchange.client.completed(!isHarmlessToRepeat(exchange));
         }
     }
 
--- a/sidecar/src/test/java/gradehub/node/ClientStateTest.java
+++ b/sidecar/src/test/java/gradehub/node/ClientStateTest.java
@@ -132,7 +132,7 @@
             }
 
             @Override
-            public void completed() {}
+            public void completed(boolean mustNotRepeat) {}
         }));
     }
 
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -75,7 +75,7 @@
             }
 
             @Override
-            public void completed() {}
+            public void completed(boolean mustNotRepeat) {}
         }));
         return answer.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -68,12 +68,12 @@
         }
     }
 
-    /** Guards against the first byte on a connection that comes up after the client has left behind unread input. */
+    /** Guards against the first byte on a connection that comes up after the client has left behind unread input. Attempts are not cancelled. */
     @ParameterizedTest
     @EnumSource
     void connectingRequestIsNotForwardedAfterItsClientLeft(Leaving leaving) throws Exception {
         try (SidecarFixture.FullBacklogListener slow = new SidecarFixture.FullBacklogListener()) {
-            fixture.start(list(1, slow.listener, "active"));
+            fixture.startWithSetting(list(1, slow.listener, "active"), "\"cancel\":true", "\"cancel\":false");
             try (PipeliningClient client =
                     new PipeliningClient(fixture.sidecar().address())) {
                 client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
