Log and count why requests end, are repeated or rejected, with their identifiers

RequestLog writes one line of each kind in a second at most, with the identifier, the number of attempts and the cause (client-left, ended-behind-unread-input, refused-by-policy, failed-by-policy, ended-at-deadline, retried, second-copy, rejected-*), and counts all of them; the totals are logged at the stop.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -275,6 +275,7 @@
             next.id = request.id();
             next.exchange = server.submit(request, maxUnreadMs(), next);
         } catch (RejectedException e) {
+            server.recordRejected(message, e);
             // Closes the connection: a client could keep the event loop busy with thousands of rejected requests.
             discarding = true;
             next.keepAlive = false;
@@ -296,7 +297,9 @@
         discarding = true;
         PendingAnswer last = new PendingAnswer(false);
         pending.add(last);
-        last.answer(response(RequestValidator.status(cause), new byte[0]));
+        HttpResponseStatus status = RequestValidator.status(cause);
+        server.recordIncomplete(status);
+        last.answer(response(status, new byte[0]));
     }
 
     // Answers
--- a/sidecar/src/main/java/gradehub/node/ClientRequest.java
+++ b/sidecar/src/main/java/gradehub/node/ClientRequest.java
@@ -48,7 +48,7 @@
             REMAINING_MS);
 
     /** A request that is not forwarded to any upstream, but answered with this status. */
-    static final class RejectedException extends Exception {
+    static class RejectedException extends Exception {
 
         private static final long serialVersionUID = 1L;
 
@@ -63,7 +63,7 @@
     static ClientRequest of(FullHttpRequest message, Settings settings) throws RejectedException {
         HttpHeaders headers = message.headers();
         String id = headers.get(ID);
-        if (id == null || id.length() != ID_DIGITS || !id.chars().allMatch(c -> Character.digit(c, 16) >= 0)) {
+        if (!isId(id)) {
             throw badRequest(ID + " is missing, or not " + ID_DIGITS + " hexadecimal digits");
         }
         int requestClass = requestClass(message, settings);
@@ -84,6 +84,11 @@
                 ByteBufUtil.getBytes(message.content()));
     }
 
+    /** Whether this is a valid identifier; {@code id} may be null. */
+    static boolean isId(String id) {
+        return id != null && id.length() == ID_DIGITS && id.chars().allMatch(c -> Character.digit(c, 16) >= 0);
+    }
+
     static String firstPathSegment(String uri) {
         int start = uri.startsWith("/") ? 1 : 0;
         int end = start;
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 
@@ -20,6 +21,7 @@
 final class ClientServer {
 
     private static final String READY = "ready";
+    private static final String UNKNOWN_ID = "unknown";
     private static final int BACKLOG = 1024;
     /** Limit of one read from a client: what it takes to decode one read delays all other connections. */
     private static final int MAX_READ_BYTES = 16 * 1024;
@@ -190,6 +192,25 @@
         return request;
     }
 
+    /** Records why a request that was decoded is answered with an error instead of being submitted. */
+    void recordRejected(FullHttpRequest message, RejectedException reason) {
+        RequestLog.Event event = RequestLog.Event.REJECTED;
+        if (reason instanceof RequestIds.IdentifierInUseException inUse) {
+            event = inUse.open ? RequestLog.Event.IDENTIFIER_OPEN : RequestLog.Event.IDENTIFIER_USED;
+        }
+        String id = message.headers().get(ClientRequest.ID);
+        recordRejected(event, ClientRequest.isId(id) ? id : UNKNOWN_ID, reason.status);
+    }
+
+    /** Records that a request which could not be decoded, or did not arrive in time, is answered with this error. */
+    void recordIncomplete(HttpResponseStatus status) {
+        recordRejected(RequestLog.Event.REJECTED, UNKNOWN_ID, status);
+    }
+
+    private void recordRejected(RequestLog.Event event, String id, HttpResponseStatus status) {
+        engine.requestLog().record(event, id, 0, "status " + status.code());
+    }
+
     /** Upper bound on how long input read now has waited for the event loop. */
     double lagMs() {
         return lag.lagMs();
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -122,6 +122,7 @@
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<String, Integer> memberIds = new HashMap<>();
     private final StartTimes startTimes = new StartTimes();
+    private final RequestLog requestLog = new RequestLog();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean dispatching;
     private ListSource listSource;
@@ -152,6 +153,10 @@
         post(null, now -> balancer.start(now)); // a reference to an interface method can't be archived
     }
 
+    RequestLog requestLog() {
+        return requestLog;
+    }
+
     /** The number of requests that are unanswered or still have attempts in flight. */
     int requestsInFlight() {
         return exchanges.size();
@@ -211,6 +216,7 @@
 
     void clientDisconnected(Exchange exchange) {
         if (!exchange.closed) {
+            record(RequestLog.Event.CLIENT_LEFT, exchange, exchange.attemptsInFlight + " in flight");
             close(exchange);
             notifyClientLeft(exchange);
         }
@@ -244,7 +250,9 @@
         if (exchange.closed || exchange.hasAttemptBeside(unsent)) {
             return;
         }
-        finish(exchange, isHarmlessToRepeat(exchange) ? Answer.refused(0) : Answer.failed());
+        Answer answer = isHarmlessToRepeat(exchange) ? Answer.refused(0) : Answer.failed();
+        record(RequestLog.Event.UNREAD_INPUT, exchange, "status " + answer.status());
+        finish(exchange, answer);
         notifyClientLeft(exchange);
     }
 
@@ -390,6 +398,7 @@
     }
 
     private void abandon(Exchange exchange) {
+        record(RequestLog.Event.OVERDUE, exchange, exchange.attemptsInFlight + " in flight");
         finish(exchange, Answer.failed());
         for (Upstreams.Attempt attempt : List.copyOf(exchange.attempts)) {
             upstreams.abort(attempt, Outcome.CANCELLED);
@@ -411,6 +420,7 @@
         double attemptTimeoutMs = timeoutMs == 0 ? remainingMs : Math.min(timeoutMs, remainingMs);
         Upstreams.Attempt attempt =
                 new Upstreams.Attempt(exchange, exchange.attempts.size(), upstream, nowMs, attemptTimeoutMs);
+        recordRepeat(exchange);
         exchange.attempts.add(attempt);
         exchange.attemptsInFlight++;
         if (exchange.closed || attempt.number >= settings.limits().maxAttempts() || remainingMs <= 0) {
@@ -424,12 +434,16 @@
 
     @Override
     public void refuse(int request, double retryAfterMs) {
-        finish(exchanges.get(request), Answer.refused(retryAfterMs));
+        Exchange exchange = exchanges.get(request);
+        record(RequestLog.Event.REFUSED, exchange, "by the module");
+        finish(exchange, Answer.refused(retryAfterMs));
     }
 
     @Override
     public void fail(int request) {
-        finish(exchanges.get(request), Answer.failed());
+        Exchange exchange = exchanges.get(request);
+        record(RequestLog.Event.FAILED, exchange, "by the module");
+        finish(exchange, Answer.failed());
     }
 
     @Override
@@ -471,6 +485,20 @@
         LOG.log(System.Logger.Level.INFO, line);
     }
 
+    private void recordRepeat(Exchange exchange) {
+        if (!exchange.attempts.isEmpty()) {
+            Upstreams.Attempt last = exchange.attempts.get(exchange.attempts.size() - 1);
+            RequestLog.Event event = last.isInFlight() ? RequestLog.Event.COPIED : RequestLog.Event.RETRIED;
+            record(event, exchange, "after " + last.outcome() + " at upstream " + last.upstream);
+        }
+    }
+
+    private void record(RequestLog.Event event, Exchange exchange, String detail) {
+        if (exchange != null && !exchange.closed) {
+            requestLog.record(event, exchange.request.id(), exchange.attempts.size(), detail);
+        }
+    }
+
     private Future<?> schedule(double delayMs, Runnable action) {
         return loop.schedule(action, Math.round(delayMs * 1000), TimeUnit.MICROSECONDS);
     }
--- a/sidecar/src/main/java/gradehub/node/RequestIds.java
+++ b/sidecar/src/main/java/gradehub/node/RequestIds.java
@@ -13,6 +13,22 @@
  */
 final class RequestIds {
 
+    /** Another request has the identifier. */
+    static final class IdentifierInUseException extends RejectedException {
+
+        private static final long serialVersionUID = 1L;
+
+        /** Whether the other request is still open; if not, it may have run. */
+        final boolean open;
+
+        IdentifierInUseException(boolean open) {
+            super(
+                    HttpResponseStatus.CONFLICT,
+                    open ? "a request of this identifier is open" : "a request of this identifier may have run");
+            this.open = open;
+        }
+    }
+
     /** An open request. */
     interface Holder {
         /** Ends the request if its client has left. */
@@ -37,11 +53,11 @@
         }
         if (open.containsKey(id)) {
             // With two open requests of one identifier, neither client could tell which answer is its own.
-            throw new RejectedException(HttpResponseStatus.CONFLICT, "a request of this identifier is open");
+            throw new IdentifierInUseException(true);
         }
         dropOldest(nowMs);
         if (endedMs.containsKey(id)) {
-            throw new RejectedException(HttpResponseStatus.CONFLICT, "a request of this identifier may have run");
+            throw new IdentifierInUseException(false);
         }
         open.put(id, holder);
     }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -208,6 +208,7 @@
     private void stopAndExit(StandardErrorLog log) {
         try {
             stop();
+            LOG.log(System.Logger.Level.INFO, engine.requestLog().totals());
             LOG.log(System.Logger.Level.INFO, "stopped");
             log.flush(LOG_FLUSH_MS);
         } catch (InterruptedException e) {
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -69,6 +69,11 @@
             return elapsedMs;
         }
 
+        /** How the attempt ended, or null while it is in flight. */
+        Outcome outcome() {
+            return outcome;
+        }
+
         boolean isInFlight() {
             return outcome == null;
         }
--- a/sidecar/src/test/java/gradehub/node/RepeatedRequestTest.java
+++ b/sidecar/src/test/java/gradehub/node/RepeatedRequestTest.java
@@ -58,6 +58,7 @@
             client.read();
         }
         assertEquals(409, statusOf(UNSAFE));
+        assertEquals(1, fixture.countOf(RequestLog.Event.IDENTIFIER_USED));
     }
 
     /** Guards against rejecting the retry of a request that a refusal has promised to be harmless. */
--- a/sidecar/src/test/java/gradehub/node/SidecarFixture.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixture.java
@@ -177,6 +177,13 @@
         awaitOnEventLoop(() -> sidecar.engine().requestsInFlight() == requests);
     }
 
+    /** Returns how many requests have had this event. */
+    long countOf(RequestLog.Event event) throws Exception {
+        return sidecar.loop()
+                .submit(() -> sidecar.engine().requestLog().count(event))
+                .get();
+    }
+
     /** Waits until idle upstream connections may be reused. */
     void awaitIdleUpstreams() throws Exception {
         awaitOnEventLoop(() -> sidecar.engine().canReuseIdleConnections());
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -65,6 +65,8 @@
             client.leave(leaving);
             watch.send(SidecarFixture.chunk(list(2, upstream, "active")));
             fixture.awaitRequestsInFlight(0);
+            long ended = fixture.countOf(RequestLog.Event.UNREAD_INPUT) + fixture.countOf(RequestLog.Event.CLIENT_LEFT);
+            assertTrue(ended > 0, "why the request ended is counted");
             assertNothingElseIsForwarded();
         }
     }
