Count the time that a request waits behind others of its connection

What callers see: a pipelined request that waits while four others are open had its whole time again once it was read. Its upstream was told more than the client had left, by up to the whole wait, and its answer could come after the client had stopped waiting.

Cause: the time of a request runs from when it is decoded, and while reading is paused nothing is.

Change: from the begin of a pause until all input that has arrived is read, the time since then counts against each request that is decoded. It is an upper bound: a request that came later is given less time than it has, never more.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -76,6 +76,8 @@
 
     private final Runnable resumeDecoding = this::resumeDecoding;
     private boolean resumeScheduled;
+    /** Since when input may have waited because of pauses, or 0 once all that had arrived has been read. */
+    private double inputWaitingSinceMs;
     /** Whether the client has sent nothing yet. */
     private boolean nothingReceived = true;
     /** Whether any request has been answered. */
@@ -211,6 +213,7 @@
         if (requestsAtOnce < MAX_REQUESTS_AT_ONCE) {
             requestsAtOnce = 0;
         }
+        updateInputWaiting();
         context.fireChannelReadComplete();
     }
 
@@ -261,12 +264,21 @@
     /**
      * Returns an upper bound on how long the request just read has waited. The first request of a client that was
      * accepted late may have arrived before the accept; this is assumed if it is read within the lag measured at the
-     * accept.
+     * accept. Behind other requests of its connection it may have waited since reading paused.
      */
     private double maxUnreadMs() {
         double sinceOpenedMs = server.nowMs() - openedMs;
         boolean mayHaveWaited = !answered && pending.size() == 1 && sinceOpenedMs < lagAtOpenMs;
-        return Math.max(server.lagMs(), mayHaveWaited ? lagAtOpenMs + sinceOpenedMs : 0);
+        double unreadMs = Math.max(server.lagMs(), mayHaveWaited ? lagAtOpenMs + sinceOpenedMs : 0);
+        return inputWaitingSinceMs == 0 ? unreadMs : Math.max(unreadMs, server.nowMs() - inputWaitingSinceMs);
+    }
+
+    private void updateInputWaiting() {
+        if (isPaused()) {
+            inputWaitingSinceMs = inputWaitingSinceMs == 0 ? server.nowMs() : inputWaitingSinceMs;
+        } else if (inputWaitingSinceMs > 0 && !decoder.isHolding() && channel.isOpenWithoutInput()) {
+            inputWaitingSinceMs = 0;
+        }
     }
 
     private void submit(FullHttpRequest message, PendingAnswer next) {
@@ -335,6 +347,7 @@
     /** Reads on once the input that was read before a pause has been decoded: no more than one read is held. */
     private void updateAutoRead() {
         boolean taking = !discarding && !isPaused();
+        updateInputWaiting();
         channel.config().setAutoRead(drainingSinceMs > 0 || taking && !decoder.isHolding());
         if (taking && decoder.isHolding() && !resumeScheduled) {
             resumeScheduled = true;
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -6,6 +6,7 @@
 import gradehub.node.PipeliningClient.Leaving;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,11 @@
 
     private static final String LONG_BODY = "b".repeat(60_000);
     private static final int PIPELINED_REQUESTS = 60;
+    private static final int REMAINING_MS = 10_000;
+    private static final int WAITED_MS = 500;
+    /** The time passed on to an upstream may exceed what is left by this much. */
+    private static final int SLACK_MS = 150;
+
     private static final int REQUESTS_UNTIL_PAUSE = 4;
 
     private SidecarFixture fixture;
@@ -114,6 +120,53 @@
         }
     }
 
+    /** Guards against a request that has its whole time again after it has waited behind others of its connection. */
+    @Test
+    void timeSpentBehindOtherRequestsCounts() throws Exception {
+        fixture.start(list(1, upstream, "active"));
+        RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
+        try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
+            for (int i = 0; i < held.length; i++) {
+                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+                held[i] = SidecarFixture.accept(upstream);
+                held[i].read();
+            }
+            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(++requests), REMAINING_MS));
+            long sentNanos = System.nanoTime();
+            while (System.nanoTime() - sentNanos < TimeUnit.MILLISECONDS.toNanos(WAITED_MS)) {
+                Thread.onSpinWait();
+            }
+            held[0].send(SidecarFixture.answer("200 OK", "", "Connection: close"));
+            String remaining = SidecarFixture.accept(upstream).read().header("X-Remaining-Ms");
+            assertTrue(Integer.parseInt(remaining) <= REMAINING_MS - WAITED_MS + SLACK_MS, remaining);
+        }
+    }
+
+    /** Guards against a later request that is charged with the time of an earlier wait. */
+    @Test
+    void timeOfAnEarlierWaitDoesNotCount() throws Exception {
+        fixture.start(list(1, upstream, "active"));
+        try (RawConnection client = fixture.client()) {
+            RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
+            for (int i = 0; i < held.length; i++) {
+                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+                held[i] = SidecarFixture.accept(upstream);
+                held[i].read();
+            }
+            for (RawConnection connection : held) {
+                connection.send(SidecarFixture.answer("200 OK", "", "Connection: close"));
+                client.read();
+            }
+            long answeredNanos = System.nanoTime();
+            while (System.nanoTime() - answeredNanos < TimeUnit.MILLISECONDS.toNanos(WAITED_MS)) {
+                Thread.onSpinWait();
+            }
+            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(++requests), REMAINING_MS));
+            String remaining = SidecarFixture.accept(upstream).read().header("X-Remaining-Ms");
+            assertTrue(Integer.parseInt(remaining) > REMAINING_MS - WAITED_MS, remaining);
+        }
+    }
+
     /** Guards against pipelined requests that are lost because they are more than can be read ahead. */
     @Test
     void eachPipelinedRequestOfAClientThatStaysIsAnswered() throws Exception {
