--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -219,7 +219,9 @@
 
     private void endPause() {
         requestsAtOnce = 0;
-        updateAutoRead();
+        if (channel.isOpen()) {
+            updateAutoRead();
+        }
     }
 
     /** Decodes the input that is held, until the next pause. */
