--- a/sidecar/src/test/java/gradehub/node/PipeliningClient.java
+++ b/sidecar/src/test/java/gradehub/node/PipeliningClient.java
@@ -29,12 +29,18 @@
 
     /** Sends as many of these requests as the buffers of both ends take, which is more than the sidecar reads ahead. */
     void fillBuffers(Supplier<String> requests) throws IOException {
+        sendUntilFull(Integer.MAX_VALUE, requests);
+    }
+
+    /** Sends up to {@code count} requests, as far as the buffers of both ends take them. */
+    void sendUntilFull(int count, Supplier<String> requests) throws IOException {
         channel.configureBlocking(false);
-        ByteBuffer request;
-        do {
-            request = ByteBuffer.wrap(requests.get().getBytes(StandardCharsets.US_ASCII));
+        boolean full = false;
+        for (int i = 0; i < count && !full; i++) {
+            ByteBuffer request = ByteBuffer.wrap(requests.get().getBytes(StandardCharsets.US_ASCII));
             channel.write(request);
-        } while (!request.hasRemaining());
+            full = request.hasRemaining();
+        }
     }
 
     void leave(Leaving leaving) throws IOException {
--- a/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
+++ b/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
@@ -7,7 +7,6 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -41,8 +40,6 @@
     private static final int LOST_AFTER_MS = REMAINING_MS + 500;
     /** A sidecar may be held up for this long; a flood has to delay others by less. */
     private static final long MAX_DELAY_MS = 150;
-    /** The memory limit of the scored days. */
-    private static final long MEMORY_LIMIT_KB = 192 * 1024;
 
     private static final int BATCH_BYTES = 64 * 1024;
     private static final int CHUNKS = 10_000;
@@ -148,15 +145,6 @@
         return latencies;
     }
 
-    private long peakMemoryKb() throws IOException {
-        String status = Files.readString(Path.of("/proc/" + sidecar.process().pid() + "/status"));
-        String peak = status.lines()
-                .filter(line -> line.startsWith("VmHWM:"))
-                .findFirst()
-                .orElseThrow();
-        return Long.parseLong(peak.replaceAll("\\D", ""));
-    }
-
     /** Guards against one client whose requests, answered by the sidecar itself, keep the event loop from all others. */
     @ParameterizedTest
     @EnumSource
@@ -177,6 +165,6 @@
         sender.join();
         double median = latencies.stream().sorted().toList().get(latencies.size() / 2);
         assertTrue(median <= MAX_DELAY_MS, "median " + median + " ms of " + latencies.size());
-        assertTrue(peakMemoryKb() <= MEMORY_LIMIT_KB, peakMemoryKb() + " KB");
+        assertTrue(sidecar.peakMemoryKb() <= SidecarProcess.MEMORY_LIMIT_KB, sidecar.peakMemoryKb() + " KB");
     }
 }
--- a/sidecar/src/test/java/gradehub/node/SidecarProcess.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -16,6 +16,9 @@
 /** The packaged sidecar as a separate process, with a configuration and optionally injected faults. */
 final class SidecarProcess implements AutoCloseable {
 
+    /** The memory limit of the scored days. */
+    static final long MEMORY_LIMIT_KB = 192 * 1024;
+
     private static final long POLL_MS = 5;
 
     private final Path config;
@@ -57,6 +60,16 @@
         return address;
     }
 
+    /** Returns the most memory that the process has held so far. */
+    long peakMemoryKb() throws IOException {
+        String status = Files.readString(Path.of("/proc/" + process.pid() + "/status"));
+        String peak = status.lines()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .findFirst()
+                .orElseThrow();
+        return Long.parseLong(peak.replaceAll("\\D", ""));
+    }
+
     String log() throws IOException {
         return Files.readString(output);
     }
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -6,6 +6,8 @@
 import gradehub.node.PipeliningClient.Leaving;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +27,11 @@
 
     private static final int REQUESTS_UNTIL_PAUSE = 4;
 
+    /** Sends on a connection of either kind. */
+    private interface Sender {
+        void send(String request) throws IOException;
+    }
+
     private SidecarFixture fixture;
     private ServerSocket upstream;
     private int requests;
@@ -49,6 +56,18 @@
         return SidecarFixture.postRequest(SidecarFixture.requestId(++requests), LONG_BODY);
     }
 
+    /** Sends one request after another, which the upstream holds, until the reading of the connection pauses. */
+    private List<RawConnection> holdUntilPaused(Sender client) throws IOException {
+        List<RawConnection> held = new ArrayList<>();
+        for (int i = 0; i < REQUESTS_UNTIL_PAUSE; i++) {
+            client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
+            RawConnection attempt = SidecarFixture.accept(upstream);
+            attempt.read();
+            held.add(attempt);
+        }
+        return held;
+    }
+
     /** Asserts that the first request which reaches the upstream is that of another client. */
     private void assertNothingElseIsForwarded() throws IOException {
         try (RawConnection other = fixture.client()) {
@@ -98,13 +117,9 @@
     @Test
     void attemptsAreCancelledWhenTheClientOfUnreadRequestsLeaves() throws Exception {
         fixture.start(list(1, upstream, "active"));
-        RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
+        List<RawConnection> held;
         try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
-            for (int i = 0; i < held.length; i++) {
-                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
-                held[i] = SidecarFixture.accept(upstream);
-                held[i].read();
-            }
+            held = holdUntilPaused(client::send);
             client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
             client.leave(Leaving.CLOSE);
         }
@@ -124,19 +139,14 @@
     @Test
     void timeSpentBehindOtherRequestsCounts() throws Exception {
         fixture.start(list(1, upstream, "active"));
-        RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
         try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
-            for (int i = 0; i < held.length; i++) {
-                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
-                held[i] = SidecarFixture.accept(upstream);
-                held[i].read();
-            }
+            List<RawConnection> held = holdUntilPaused(client::send);
             client.send(SidecarFixture.getRequest(SidecarFixture.requestId(++requests), REMAINING_MS));
             long sentNanos = System.nanoTime();
             while (System.nanoTime() - sentNanos < TimeUnit.MILLISECONDS.toNanos(WAITED_MS)) {
                 Thread.onSpinWait();
             }
-            held[0].send(SidecarFixture.answer("200 OK", "", "Connection: close"));
+            held.get(0).send(SidecarFixture.answer("200 OK", "", "Connection: close"));
             String remaining = SidecarFixture.accept(upstream).read().header("X-Remaining-Ms");
             assertTrue(Integer.parseInt(remaining) <= REMAINING_MS - WAITED_MS + SLACK_MS, remaining);
         }
@@ -147,12 +157,7 @@
     void timeOfAnEarlierWaitDoesNotCount() throws Exception {
         fixture.start(list(1, upstream, "active"));
         try (RawConnection client = fixture.client()) {
-            RawConnection[] held = new RawConnection[REQUESTS_UNTIL_PAUSE];
-            for (int i = 0; i < held.length; i++) {
-                client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
-                held[i] = SidecarFixture.accept(upstream);
-                held[i].read();
-            }
+            List<RawConnection> held = holdUntilPaused(client::send);
             for (RawConnection connection : held) {
                 connection.send(SidecarFixture.answer("200 OK", "", "Connection: close"));
                 client.read();
