Free an identifier as soon as its request can be repeated without harm

What callers saw: since a safe request whose identifier came again got 409 for as long as an attempt of the client that had left was out, where the settings forbid cancelling; before, it was sent.

Cause: an identifier was kept until no attempt held its request, whatever that attempt could still do.

Change: it is decided when the request is closed. No attempt begins after that, so that only those that are being or have been written count: with one of them a request that must not run twice stays blocked, any other identifier is free at once. A request that is partly written counts too, as the rest of it may follow; that state moves from the connection to the attempt. An unsafe attempt that is out when its client leaves blocks the identifier also if it is turned away later.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -137,11 +137,13 @@
         }
 
         @Override
-        public void completed(boolean mustNotRepeat) {
+        public void closed(boolean mustNotRepeat) {
+            server.closeId(id, mustNotRepeat);
+        }
+
+        @Override
+        public void completed() {
             memory.release();
-            if (id != null) {
-                server.closeId(id, mustNotRepeat);
-            }
         }
 
         @Override
@@ -153,7 +155,7 @@
 
         private void answer(FullHttpResponse message) {
             if (id == null) {
-                completed(false); // it was never submitted
+                completed(); // it was never submitted
             }
             response = message;
             answerMemory.grow(message.content().readableBytes());
--- a/sidecar/src/main/java/gradehub/node/Engine.java
+++ b/sidecar/src/main/java/gradehub/node/Engine.java
@@ -41,10 +41,13 @@
         ReadAheadChannel.PeerState state();
 
         /**
-         * Called once, when the request is closed and no attempt holds it any more. {@code mustNotRepeat} says that an
-         * upstream may have run it and that its class forbids a second run.
+         * Called once, when no further attempt is sent, before any answer. {@code mustNotRepeat} says that an upstream may
+         * have run the request, or may yet, and that its class forbids a second run.
          */
-        void completed(boolean mustNotRepeat);
+        void closed(boolean mustNotRepeat);
+
+        /** Called once, when the request is closed and no attempt holds it any more. */
+        void completed();
     }
 
     /** Provides the list of upstreams when the module asks for it. */
@@ -80,9 +83,9 @@
 
         // Loops in place of streams: lambdas on rare paths would be linked while requests wait.
 
-        private boolean mayHaveRun() {
+        private boolean mayRun() {
             for (Upstreams.Attempt attempt : attempts) {
-                if (attempt.mayHaveRun()) {
+                if (attempt.mayRun()) {
                     return true;
                 }
             }
@@ -257,7 +260,7 @@
     }
 
     private boolean isHarmlessToRepeat(Exchange exchange) {
-        return spec(exchange).effect() == Effect.SAFE || !exchange.mayHaveRun();
+        return spec(exchange).effect() == Effect.SAFE || !exchange.mayRun();
     }
 
     private RequestClass spec(Exchange exchange) {
@@ -377,7 +380,7 @@
 
     private void complete(Exchange exchange) {
         if (exchanges.remove(exchange.id) != null) {
-            exchange.client.completed(!isHarmlessToRepeat(exchange));
+            exchange.client.completed();
         }
     }
 
@@ -386,6 +389,7 @@
     private void close(Exchange exchange) {
         exchange.closed = true;
         exchange.deadlineTimer.cancel(false);
+        exchange.client.closed(!isHarmlessToRepeat(exchange));
         // The module may end a request while it handles another; this empty event makes sure that it is removed.
         post(exchange, now -> {});
     }
--- a/sidecar/src/main/java/gradehub/node/RequestIds.java
+++ b/sidecar/src/main/java/gradehub/node/RequestIds.java
@@ -62,7 +62,7 @@
         open.put(id, holder);
     }
 
-    /** Closes a request; {@code mustNotRepeat} says that it may have run and that its class forbids a second run. */
+    /** Closes a request; {@code mustNotRepeat} says that it may have run, or may yet, and must not run again. */
     void close(String id, boolean mustNotRepeat, double nowMs) {
         open.remove(id);
         if (mustNotRepeat) {
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -58,9 +58,6 @@
     private final AnswerDecoder decoder = new AnswerDecoder();
     private final BodyCollector body;
     private Attempt attempt;
-    /** Whether the first byte of the attempt may have been written. */
-    private boolean writeStarted;
-
     private boolean retired;
     /** The outcome of the attempt, reported once the read completes and any bytes after the answer are known. */
     private Outcome outcome;
@@ -118,15 +115,14 @@
     void assign(Attempt next) {
         attempt = next;
         next.connection = this;
-        writeStarted = false;
         reusable = false;
         outcome = null;
         interimAnswers = 0;
     }
 
     void write() {
-        writeStarted = true;
         Attempt sent = attempt;
+        sent.writeStarted = true;
         channel.writeAndFlush(message(sent)).addListener(written -> {
             if (written.isSuccess()) {
                 sent.written = true;
@@ -280,7 +276,7 @@
         retired = true;
         if (attempt == null) {
             close();
-        } else if (!writeStarted) {
+        } else if (!attempt.writeStarted) {
             upstreams.end(attempt, Outcome.CONNECT_FAILED, LoadReportParser.NONE, null);
         }
     }
--- a/sidecar/src/main/java/gradehub/node/Upstreams.java
+++ b/sidecar/src/main/java/gradehub/node/Upstreams.java
@@ -51,6 +51,8 @@
         final double timeoutMs;
         UpstreamConnection connection;
         private Future<?> timeoutTimer;
+        /** Whether the first byte may have been written. */
+        boolean writeStarted;
         /** Whether the last byte has been written; from then on the upstream may have run the request. */
         boolean written;
 
@@ -78,6 +80,11 @@
             return outcome == null;
         }
 
+        /** Whether the upstream may have run the request, or may run it once the rest of it is written. */
+        boolean mayRun() {
+            return mayHaveRun() || writeStarted && isInFlight();
+        }
+
         boolean mayHaveRun() {
             return written && (outcome == null || !outcome.provesNotRun());
         }
--- a/sidecar/src/test/java/gradehub/node/ClientStateTest.java
+++ b/sidecar/src/test/java/gradehub/node/ClientStateTest.java
@@ -132,7 +132,10 @@
             }
 
             @Override
-            public void completed(boolean mustNotRepeat) {}
+            public void closed(boolean mustNotRepeat) {}
+
+            @Override
+            public void completed() {}
         }));
     }
 
--- a/sidecar/src/test/java/gradehub/node/EngineTest.java
+++ b/sidecar/src/test/java/gradehub/node/EngineTest.java
@@ -75,7 +75,10 @@
             }
 
             @Override
-            public void completed(boolean mustNotRepeat) {}
+            public void closed(boolean mustNotRepeat) {}
+
+            @Override
+            public void completed() {}
         }));
         return answer.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
--- a/sidecar/src/test/java/gradehub/node/RepeatedRequestTest.java
+++ b/sidecar/src/test/java/gradehub/node/RepeatedRequestTest.java
@@ -88,15 +88,18 @@
             try (RawConnection again = fixture.client()) {
                 again.send(UNSAFE);
                 fixture.awaitRequestsInFlight(1);
+                assertEquals(0, fixture.countOf(RequestLog.Event.IDENTIFIER_USED));
                 slow.drainAndAccept().close(); // of the first client's attempt
             }
         }
     }
 
-    /** Guards against rejecting a safe request because the close of its first client has not been read yet. */
-    @Test
-    void safeRequestIsSentAgainAsSoonAsItsClientHasLeft() throws Exception {
-        startWithUpstream();
+    /** Guards against rejecting a safe request because its first client's close is unread, or its attempt still out. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void safeRequestIsSentAgainAsSoonAsItsClientHasLeft(boolean cancel) throws Exception {
+        fixture.startWithSetting(
+                SidecarFixture.listOf(SidecarFixture.address(upstream)), "\"cancel\":true", "\"cancel\":" + cancel);
         try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
             for (int i = 1; i <= REQUESTS_UNTIL_PAUSE; i++) {
                 client.send(SidecarFixture.getRequest(SidecarFixture.requestId(i)));
