Tests: pipelined requests wait for their turn; one start of a sidecar with its peers

tooManyPipelinedRequestsAreRejected no longer said what the sidecar does since, and it could not fail for the limit that it names: the 400 that it expected came from the upstream. Its successor sends the same 20 requests, checks that no more than four are in flight, and that each is answered in turn. ReadAheadMemoryTest also checks that the state of a client is unknown while the budget is used up. SidecarWithPeers takes the place of three copies of the same set-up.

--- a/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
+++ b/sidecar/src/test/java/gradehub/node/InvalidRequestTest.java
@@ -13,6 +13,9 @@
 /** Clients that send an invalid or incomplete request, or nothing, get an error or a close; nothing is forwarded. */
 class InvalidRequestTest {
 
+    private static final int PIPELINED_REQUESTS = 20;
+    private static final int MAX_OPEN_REQUESTS = 4;
+
     private SidecarFixture fixture;
     private ServerSocket upstream;
     private String list;
@@ -164,18 +167,22 @@
 
     /** Without a limit, hundreds of pipelined requests would be held in memory until each is processed. */
     @Test
-    void tooManyPipelinedRequestsAreRejected() throws Exception {
+    void pipelinedRequestsBeyondTheLimitWaitForTheirTurn() throws Exception {
         fixture.start(list);
         try (RawConnection client = fixture.client()) {
             StringBuilder requests = new StringBuilder();
-            for (int i = 0; i < 20; i++) {
+            for (int i = 0; i < PIPELINED_REQUESTS; i++) {
                 requests.append(SidecarFixture.getRequest(SidecarFixture.requestId(i)));
             }
             client.send(requests.toString());
-            RawConnection up = SidecarFixture.accept(upstream);
-            up.read();
-            up.send(SidecarFixture.answer("400 Bad Request", ""));
-            assertEquals(400, client.read().status());
+            fixture.awaitRequestsInFlight(MAX_OPEN_REQUESTS);
+            for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+                assertTrue(fixture.requestsInFlight() <= MAX_OPEN_REQUESTS);
+                RawConnection up = SidecarFixture.accept(upstream);
+                String id = up.read().header("X-Txn");
+                up.send(SidecarFixture.answer("200 OK", id, "Connection: close"));
+                assertEquals(SidecarFixture.requestId(i), client.read().body());
+            }
         }
     }
 
--- a/sidecar/src/test/java/gradehub/node/ReadAheadMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/ReadAheadMemoryTest.java
@@ -85,6 +85,7 @@
         client.getOutputStream().write(new byte[INPUT_BYTES]);
         client.shutdownOutput();
         assertFalse(onEventLoop(channel::isClosedByPeer), "the close lies behind input that is not read");
+        assertEquals(ReadAheadChannel.PeerState.UNKNOWN, onEventLoop(channel::peerState));
         assertTrue(onEventLoop(memory::usedBytes) <= limitBytes + ALWAYS_ADMITTED_BYTES);
         onEventLoop(() -> {
             others.release();
--- a/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
+++ b/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
@@ -50,26 +50,18 @@
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicBoolean stopped = new AtomicBoolean();
 
-    private SidecarFixture fixture;
-    private StubServer upstream;
-    private StubServer discovery;
+    private SidecarWithPeers started;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void open() throws Exception {
-        fixture = new SidecarFixture();
-        upstream = StubServer.upstream();
-        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
-        sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
-        sidecar.awaitReady();
+        started = SidecarWithPeers.start(folder, Map.of());
+        sidecar = started.process();
     }
 
     @AfterEach
     void close() throws Exception {
-        sidecar.close();
-        discovery.close();
-        upstream.close();
-        fixture.close();
+        started.close();
     }
 
     private String nextId() {
--- a/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
+++ b/sidecar/src/test/java/gradehub/node/ServiceFaultIT.java
@@ -42,28 +42,19 @@
     private final AtomicInteger ids = new AtomicInteger();
 
     private SyscallFaults faults;
-    private SidecarFixture fixture;
-    private StubServer upstream;
-    private StubServer discovery;
+    private SidecarWithPeers started;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void open() throws Exception {
         faults = new SyscallFaults(folder, SEED);
-        fixture = new SidecarFixture();
-        upstream = StubServer.upstream();
-        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
-        sidecar = SidecarProcess.start(
-                folder, fixture.config(null).put("discovery", discovery.address()), faults.environment());
-        sidecar.awaitReady();
+        started = SidecarWithPeers.start(folder, faults.environment());
+        sidecar = started.process();
     }
 
     @AfterEach
     void close() throws Exception {
-        sidecar.close();
-        discovery.close();
-        upstream.close();
-        fixture.close();
+        started.close();
     }
 
     /** Returns the statuses of one client's requests, ending with 0 if a request got no answer. */
@@ -292,8 +283,8 @@
     /** Related to c9ba44: a SIGHUP was lost if its configuration file was temporarily unreadable. */
     @Test
     void retriesReloadThatCannotReadItsFile() throws Exception {
-        try (StubServer moved = StubServer.discovery(
-                SidecarFixture.list(2, true, SidecarFixture.member("u1", upstream.address(), "active")))) {
+        try (StubServer moved = StubServer.discovery(SidecarFixture.list(
+                2, true, SidecarFixture.member("u1", started.upstream().address(), "active")))) {
             ObjectNode config = (ObjectNode) Config.JSON.readTree(Files.readString(sidecar.config()));
             Files.writeString(
                     sidecar.config(), config.put("discovery", moved.address()).toString());
--- a/sidecar/src/test/java/gradehub/node/SidecarFixture.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixture.java
@@ -172,6 +172,10 @@
         }
     }
 
+    int requestsInFlight() throws Exception {
+        return sidecar.loop().submit(sidecar.engine()::requestsInFlight).get();
+    }
+
     /** Waits until the sidecar has exactly this many requests in flight. */
     void awaitRequestsInFlight(int requests) throws Exception {
         awaitOnEventLoop(() -> sidecar.engine().requestsInFlight() == requests);
--- /dev/null
+++ b/sidecar/src/test/java/gradehub/node/SidecarWithPeers.java
@@ -0,0 +1,50 @@
+package gradehub.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** The packaged sidecar, ready, with one upstream that answers each request and a discovery that lists it. */
+final class SidecarWithPeers implements AutoCloseable {
+
+    private final SidecarFixture fixture;
+    private final StubServer upstream;
+    private final StubServer discovery;
+    private final SidecarProcess process;
+
+    private SidecarWithPeers(
+            SidecarFixture fixture, StubServer upstream, StubServer discovery, SidecarProcess process) {
+        this.fixture = fixture;
+        this.upstream = upstream;
+        this.discovery = discovery;
+        this.process = process;
+    }
+
+    /** Starts all of them, the sidecar with its files in this folder, and waits until it is ready. */
+    static SidecarWithPeers start(Path folder, Map<String, String> environment)
+            throws IOException, InterruptedException {
+        SidecarFixture fixture = new SidecarFixture();
+        StubServer upstream = StubServer.upstream();
+        StubServer discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
+        SidecarProcess process =
+                SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), environment);
+        process.awaitReady();
+        return new SidecarWithPeers(fixture, upstream, discovery, process);
+    }
+
+    SidecarProcess process() {
+        return process;
+    }
+
+    StubServer upstream() {
+        return upstream;
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.close();
+        discovery.close();
+        upstream.close();
+        fixture.close();
+    }
+}
--- a/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
+++ b/sidecar/src/test/java/gradehub/node/SlowRequestsIT.java
@@ -36,19 +36,14 @@
     @TempDir
     private Path folder;
 
-    private SidecarFixture fixture;
-    private StubServer upstream;
-    private StubServer discovery;
+    private SidecarWithPeers started;
     private SidecarProcess sidecar;
     private int requests;
 
     @BeforeEach
     void open() throws Exception {
-        fixture = new SidecarFixture();
-        upstream = StubServer.upstream();
-        discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
-        sidecar = SidecarProcess.start(folder, fixture.config(null).put("discovery", discovery.address()), Map.of());
-        sidecar.awaitReady();
+        started = SidecarWithPeers.start(folder, Map.of());
+        sidecar = started.process();
         try (RawConnection first = sidecar.client()) {
             for (int i = 0; i < FIRST_REQUESTS; i++) {
                 assertServed(first);
@@ -58,10 +53,7 @@
 
     @AfterEach
     void close() throws Exception {
-        sidecar.close();
-        discovery.close();
-        upstream.close();
-        fixture.close();
+        started.close();
     }
 
     private String slowRequestHead() {
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -96,7 +96,7 @@
         }
     }
 
-    /** Guards against the first byte on a connection that comes up after the client has left behind unread input. Attempts are not cancelled. */
+    /** Guards against the first byte on a connection that comes up after the client has left; nothing is cancelled. */
     @ParameterizedTest
     @EnumSource
     void connectingRequestIsNotForwardedAfterItsClientLeft(Leaving leaving) throws Exception {
@@ -124,12 +124,7 @@
             client.leave(Leaving.CLOSE);
         }
         fixture.sidecar().loop().submit(fixture.sidecar()::closeOverdueClients).get();
-        assertEquals(
-                0,
-                fixture.sidecar()
-                        .loop()
-                        .submit(fixture.sidecar().engine()::requestsInFlight)
-                        .get());
+        assertEquals(0, fixture.requestsInFlight());
         for (RawConnection connection : held) {
             assertTrue(connection.awaitClose());
         }
