Tests: no flood of closed connections, and a listen address that nothing else takes

Cause: SidecarProcess takes a free port of 127.0.0.1 and releases it for the sidecar. The sidecar's own warm-up, or another test's, can get that port for its temporary listener and answers readiness checks. The clients of the test were connected to that one, which ends with the warm-up. RequestFloodIT, which ran just before, made that likely: it left 32,964 connections in TIME_WAIT, with 28,232 ports to choose from.

Change: packaged sidecars of the tests listen on a loopback address of their JVM's own, and the ordinary client of RequestFloodIT pauses for 20 ms between its requests. Its bounds are unchanged.

--- a/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
+++ b/sidecar/src/test/java/gradehub/node/RequestFloodIT.java
@@ -34,6 +34,9 @@
     }
 
     private static final long FLOOD_MS = 5000;
+    /** A closed connection keeps its port for a minute: without a pause the test would use up the ports of the machine. */
+    private static final long ORDINARY_PAUSE_MS = 20;
+
     private static final int FIRST_REQUESTS = 20;
     private static final int REMAINING_MS = 1600;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
@@ -128,11 +131,12 @@
         return (System.nanoTime() - startNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
     }
 
-    private List<Double> ordinaryLatenciesMs() throws IOException {
+    private List<Double> ordinaryLatenciesMs() throws IOException, InterruptedException {
         List<Double> latencies = new ArrayList<>();
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
         while (System.nanoTime() < endNanos) {
             latencies.add(ordinaryLatencyMs());
+            TimeUnit.MILLISECONDS.sleep(ORDINARY_PAUSE_MS);
         }
         return latencies;
     }
--- a/sidecar/src/test/java/gradehub/node/SidecarProcess.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -36,7 +37,7 @@
     /** Starts a sidecar with its files in this folder; sets the listen address in {@code root} to a free port. */
     static SidecarProcess start(Path folder, ObjectNode root, Map<String, String> environment) throws IOException {
         InetSocketAddress address;
-        try (ServerSocket free = new ServerSocket(0, 1, RawConnection.loopback())) {
+        try (ServerSocket free = new ServerSocket(0, 1, ownLoopbackAddress())) {
             address = (InetSocketAddress) free.getLocalSocketAddress();
             root.put("listen", SidecarFixture.address(free));
         }
@@ -48,6 +49,15 @@
         return new SidecarProcess(config, output, address, PackagedSidecar.start(variables, output));
     }
 
+    /**
+     * Returns a loopback address that only the sidecars of this JVM listen on. The free port could be taken before the
+     * sidecar binds it, for example by its own warm-up, which listens on 127.0.0.1 and answers readiness checks.
+     */
+    private static InetAddress ownLoopbackAddress() throws IOException {
+        long pid = ProcessHandle.current().pid();
+        return InetAddress.getByAddress(new byte[] {127, 77, (byte) (pid >> Byte.SIZE), (byte) pid});
+    }
+
     Process process() {
         return process;
     }
