Review case 9: tiny chunks of many peers hold up all others

Cause: each connection reads 16 KiB in a turn of the event loop, whatever it takes to decode, and nothing bounds a turn over all connections. With 500 peers that sent 64,000 chunks of one byte each and have gone, a turn takes some 2 s for several seconds.

Change: the case as a script.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
     echo "run the build of the deploy file and review/build-2.sh first" >&2
     exit 2
 fi
-exec java -Xmx512m -cp "$classes" LostId "$root" "$here/record.txt"
+exec java -Xmx512m -cp "$classes" Chunks "$root" "$here/record.txt"
