Apply a change of the list without work on the whole fleet, and few changes a turn

Cause, two parts that need each other: - UpstreamList.apply went through all upstreams for each object of the watch, and fillSubset searched the members for each of them and drew a random number for each candidate, whether or not a place was free: 3,200 x 256 steps.

Change: candidates for the subset are kept in a pool in which adding, removing and drawing one takes constant time; only new candidates are considered for a member's place, and the members are gone through only where a change concerns one. The draws have the same distribution: free places go to uniformly random candidates, and each new one replaces a random member with the same probability, in random order. A watch is read once in a turn, as a client is (ShortReads). The sum of the members' weights is kept: choosing a member while many are warming up took the square of the subset.

--- a/sidecar/src/main/java/gradehub/UpstreamState.java
+++ b/sidecar/src/main/java/gradehub/UpstreamState.java
@@ -12,6 +12,8 @@
     final int id;
     Balancer.Upstream listed; // latest entry from discovery
     boolean consideredForSubset; // whether it has ever been a candidate for the subset
+    boolean member; // of the subset
+    int candidateIndex = CandidatePool.ABSENT;
     double share; // weight in the random choice of an upstream
     double latencyRatioSum; // latency / median: samples of this tick, and decayed older ones if few
     double samples;
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -3,7 +3,6 @@
 import gradehub.Balancer.Settings;
 import gradehub.node.ClientRequest.RejectedException;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -23,11 +22,6 @@
     private static final String READY = "ready";
     private static final String UNKNOWN_ID = "unknown";
     private static final int BACKLOG = 1024;
-    /** Limit of one read from a client: what it takes to decode one read delays all other connections. */
-    private static final int MAX_READ_BYTES = 16 * 1024;
-
-    private static final int MIN_READ_BYTES = 64;
-    private static final int FIRST_READ_BYTES = 2048;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -73,7 +67,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptOnePerRead())
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, shortReads())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ShortReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -104,11 +98,6 @@
         return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
     }
 
-    /** Reads once from each client in a turn of the event loop. */
-    private static RecvByteBufAllocator shortReads() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1);
-    }
-
     /** Answers all requests by {@code timeMs}, whether they are complete or not. */
     void answerAllBy(double timeMs) {
         answerByMs = timeMs;
--- a/sidecar/src/test/java/gradehub/UpstreamListTest.java
+++ b/sidecar/src/test/java/gradehub/UpstreamListTest.java
@@ -10,8 +10,11 @@
 import gradehub.Balancer.ListKind;
 import gradehub.Balancer.Status;
 import gradehub.Balancer.Upstream;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -19,6 +22,13 @@
 
     private static final double TOLERANCE = 1e-9;
 
+    private static final int LARGE_FLEET = 3200;
+    private static final int LARGE_FLEET_SIDECARS = 100;
+    /** Six in ten upstreams. */
+    private static final int REPLACED = 1920;
+    /** The processor time that a day may take beyond that of a fleet of the usual size, in seconds. */
+    private static final double EXTRA_CPU_SECONDS = 0.02 + 0.12 * LARGE_FLEET / 1000;
+
     private static UpstreamList list(int sidecars, int upstreams) {
         UpstreamList list = new UpstreamList(sidecars, new SplittableRandom(3));
         List<Upstream> entries = new ArrayList<>();
@@ -120,4 +130,54 @@
         change(list, 1, Status.DRAINING, 0);
         assertEquals(1 / 3.0, list.weightFraction(list.find(2)), TOLERANCE);
     }
+
+    /** Guards against review case 6: each change told of a large fleet took time in proportion to the fleet. */
+    @Test
+    void releaseInALargeFleetStaysWithinItsProcessorTime() {
+        UpstreamList list = list(LARGE_FLEET_SIDECARS, LARGE_FLEET);
+        long startNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        for (int id = 1; id <= REPLACED; id++) {
+            change(list, id, Status.DRAINING, 0);
+            change(list, LARGE_FLEET + id, Status.READY, 0);
+            change(list, id, Status.GONE, 0);
+        }
+        double seconds = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - startNanos) / 1e9;
+        assertTrue(seconds <= EXTRA_CPU_SECONDS, seconds + " s");
+    }
+
+    /** The subset always has its size and holds ready upstreams, each once, whatever discovery tells. */
+    @Test
+    void subsetStaysWholeUnderRandomChanges() {
+        SplittableRandom random = new SplittableRandom(1);
+        UpstreamList list = list(20, 30);
+        for (int step = 0; step < 20_000; step++) {
+            List<Upstream> entries = new ArrayList<>();
+            for (int count = random.nextInt(4); count >= 0; count--) {
+                Status status = Status.values()[random.nextInt(Status.values().length)];
+                entries.add(FakeSidecar.upstream(1 + random.nextInt(60), status, 1 + random.nextInt(3)));
+            }
+            list.apply(step, random.nextInt(50) == 0 ? ListKind.FULL : ListKind.DELTA, entries);
+            assertSubsetIsWhole(list);
+        }
+    }
+
+    private static void assertSubsetIsWhole(UpstreamList list) {
+        int ready = 0;
+        int listed = 0;
+        Set<UpstreamState> current = new HashSet<>();
+        for (int id = 1; id <= 60; id++) {
+            UpstreamState upstream = list.find(id);
+            listed += upstream == null ? 0 : 1;
+            ready += upstream != null && upstream.isReady() ? 1 : 0;
+            current.add(upstream);
+        }
+        int places = (int) Math.ceil(Math.max(10, 8 * listed / 20.0));
+        assertTrue(list.members.size() >= Math.min(ready, places), list.members.size() + " members");
+        assertEquals(list.members.size(), Set.copyOf(list.members).size());
+        assertTrue(list.members.stream().allMatch(member -> member.isReady() && current.contains(member)));
+        assertEquals(list.members.isEmpty() ? 0 : 1, sumOfShares(list), TOLERANCE);
+        double fractions =
+                list.members.stream().mapToDouble(list::weightFraction).sum();
+        assertEquals(list.members.isEmpty() ? 0 : 1, fractions, TOLERANCE);
+    }
 }
--- a/sidecar/src/test/java/gradehub/node/LargeListTest.java
+++ b/sidecar/src/test/java/gradehub/node/LargeListTest.java
@@ -1,8 +1,15 @@
 package gradehub.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.SingleThreadEventLoop;
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** A list of upstreams as large as the largest expected fleet. */
@@ -10,6 +17,15 @@
 
     private static final int UPSTREAMS = 1024;
 
+    /** The largest fleet, of which six in ten upstreams are replaced. */
+    private static final int RELEASE_UPSTREAMS = 3200;
+
+    private static final int REPLACED = 1920;
+    private static final int FIRST_REQUESTS = 40;
+    private static final int REMAINING_MS = 720;
+    /** A request is lost if its answer comes later than half a second after the client's waiting time. */
+    private static final int LOST_AFTER_MS = REMAINING_MS + 500;
+
     private static String[] members(String phase, ServerSocket listener) {
         List<String> members = new ArrayList<>();
         for (int i = 1; i <= UPSTREAMS; i++) {
@@ -37,4 +53,124 @@
             fixture.assertServed(2, second);
         }
     }
+
+    /** Starts a sidecar that has the largest fleet, all of it at this address; returns its watch. */
+    private static RawConnection startLargestFleet(SidecarFixture fixture, String address) throws Exception {
+        fixture.startWithSetting(null, "\"instances\":1,", "\"instances\":100,");
+        RawConnection watch = fixture.acceptWatch();
+        String[] members = new String[RELEASE_UPSTREAMS];
+        for (int i = 0; i < members.length; i++) {
+            members[i] = SidecarFixture.member("u" + i, address, "active");
+        }
+        watch.send(SidecarFixture.chunk(SidecarFixture.list(1, true, members)));
+        fixture.awaitOnEventLoop(() -> fixture.sidecar().engine().upstreamCount() == RELEASE_UPSTREAMS);
+        return watch;
+    }
+
+    /** Returns the changes of a release, each in an object of its own. */
+    private static String release(String address) {
+        StringBuilder changes = new StringBuilder();
+        for (int i = 0; i < REPLACED; i++) {
+            String[] entries = {
+                SidecarFixture.member("u" + i, address, "leaving"),
+                SidecarFixture.member("u" + (RELEASE_UPSTREAMS + i), address, "active"),
+                SidecarFixture.member("u" + i, address, "left")
+            };
+            for (String entry : entries) {
+                changes.append(SidecarFixture.chunk(SidecarFixture.list(2 + i, false, entry)));
+            }
+        }
+        return changes.toString();
+    }
+
+    /** Sends requests with much time: the sidecar refuses those with little until it knows the latency of their class. */
+    private static void learnLatency(SidecarFixture fixture) throws IOException {
+        try (RawConnection client = fixture.client()) {
+            for (int i = 0; i < FIRST_REQUESTS; i++) {
+                client.send(SidecarFixture.getRequest(SidecarFixture.requestId(i)));
+                assertEquals(200, client.read().status());
+            }
+        }
+    }
+
+    private static Thread sendInBackground(RawConnection watch, String changes) {
+        Thread sender = new Thread(() -> {
+            try {
+                watch.send(changes);
+            } catch (IOException e) {
+                // The fixture has been closed; the test has failed before.
+            }
+        });
+        sender.start();
+        return sender;
+    }
+
+    /** Guards against review case 6: nobody got an answer while the changes of a release were applied. */
+    @Test
+    void requestsAreAnsweredWhileAReleaseIsTold() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture();
+                StubServer upstream = StubServer.upstream()) {
+            RawConnection watch = startLargestFleet(fixture, upstream.address());
+            learnLatency(fixture);
+            Thread sender = sendInBackground(watch, release(upstream.address()));
+            try (RawConnection client = fixture.client()) {
+                client.setReadTimeoutMs(LOST_AFTER_MS);
+                for (int i = FIRST_REQUESTS; sender.isAlive(); i++) {
+                    client.send(SidecarFixture.getRequest(SidecarFixture.requestId(i), REMAINING_MS));
+                    assertEquals(200, client.read().status());
+                }
+            }
+            sender.join();
+            watch.send(SidecarFixture.chunk(SidecarFixture.list(
+                    2 + REPLACED, false, SidecarFixture.member("last", upstream.address(), "active"))));
+            fixture.awaitOnEventLoop(() -> fixture.sidecar().engine().upstreamCount() == RELEASE_UPSTREAMS + 1);
+        }
+    }
+
+    /** Guards against review case 6: all changes that had arrived were applied in one turn of the event loop. */
+    @Test
+    void changesThatArriveAtOnceAreAppliedInManyTurns() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            ServerSocket upstream = fixture.listener();
+            RawConnection watch = startLargestFleet(fixture, SidecarFixture.address(upstream));
+            String[] changes = new String[REPLACED];
+            for (int i = 0; i < REPLACED; i++) {
+                String left = SidecarFixture.member("u" + i, SidecarFixture.address(upstream), "left");
+                changes[i] = SidecarFixture.chunk(SidecarFixture.list(2 + i, false, left));
+            }
+            TurnObserver observer = new TurnObserver(fixture.sidecar());
+            fixture.sidecar().loop().execute(observer::observe);
+            Thread sender = sendInBackground(watch, String.join("", changes));
+            int most = observer.mostInOneTurn.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            sender.join();
+            int readable = ShortReads.MAX_READ_BYTES / changes[0].length() + 1;
+            assertTrue(most <= readable, most + " changes in one turn, " + readable + " in one read");
+        }
+    }
+
+    /** Counts the upstreams that leave in each turn of the event loop until all of the release have left. */
+    private static final class TurnObserver {
+        final CompletableFuture<Integer> mostInOneTurn = new CompletableFuture<>();
+        private final Sidecar sidecar;
+        private int before = RELEASE_UPSTREAMS;
+        private int most;
+
+        TurnObserver(Sidecar sidecar) {
+            this.sidecar = sidecar;
+        }
+
+        void observe() {
+            int now = sidecar.engine().upstreamCount();
+            most = Math.max(most, before - now);
+            before = now;
+            if (now == RELEASE_UPSTREAMS - REPLACED) {
+                mostInOneTurn.complete(most);
+                return;
+            }
+            // A task that adds another one would keep the loop from its sockets, so the next one follows the turn.
+            sidecar.loop()
+                    .execute(() ->
+                            ((SingleThreadEventLoop) sidecar.loop()).executeAfterEventLoopIteration(this::observe));
+        }
+    }
 }
