Count the time in the listener's backlog, and keep silent clients from filling it

Cause: while clients held all their sockets nothing was accepted, and what waited in the backlog got in only as silent clients before it were closed, 250 ms after each had been accepted. A connection tells nothing of its wait, so its request got its whole time from when it was read.

Change: - Every 50 ms without a free socket the listener takes clients out of the backlog (ClientListener.checkBacklog). One that has sent something gets the socket of a client that has not, or is held until one is free. - BacklogWait knows when the backlog was last seen empty: what is accepted now has come later.

SocketShortageTest#incompleteRequestsDoNotKeepNewClientsWaiting now sends 20 requests first: its one request waits some 0.75 s of its 1.6 s, which counts now, and the module took it for too late before it knew the latency of the class (a first guess of 2.5 s from its aim of 20 s). Its bounds are the same.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -67,6 +67,10 @@
 
     private double openedMs;
     private double lagAtOpenMs;
+    /** Input that had arrived when the connection was accepted, if it may have waited for that. */
+    private int bytesAtOpen;
+
+    private long receivedBytes;
     private int pendingWrites;
     private int drainedBytes;
     /** The number of requests read without a pause. */
@@ -175,6 +179,7 @@
         openedMs = server.nowMs();
         lagAtOpenMs = server.lagMs();
         receivingSinceMs = openedMs;
+        bytesAtOpen = channel.waitingSinceMs() > 0 ? channel.readAheadBytes() : 0;
         server.connections().opened(this);
     }
 
@@ -183,6 +188,7 @@
     @Override
     public void received(int bytes) {
         nothingReceived = false;
+        receivedBytes += bytes;
         requestIncomplete();
         if (drainingSinceMs > 0) {
             drainedBytes += bytes;
@@ -268,12 +274,16 @@
     /**
      * Returns an upper bound on how long the request just read has waited. The first request of a client that was
      * accepted late may have arrived before the accept; this is assumed if it is read within the lag measured at the
-     * accept. Behind other requests of its connection it may have waited since reading paused.
+     * accept. If it had arrived before an accept for which clients had to wait, it may have waited for as long as any of
+     * them. Behind other requests of its connection it may have waited since reading paused.
      */
     private double maxUnreadMs() {
         double sinceOpenedMs = server.nowMs() - openedMs;
         boolean mayHaveWaited = !answered && pending.size() == 1 && sinceOpenedMs < lagAtOpenMs;
         double unreadMs = Math.max(server.lagMs(), mayHaveWaited ? lagAtOpenMs + sinceOpenedMs : 0);
+        if (receivedBytes <= bytesAtOpen) {
+            unreadMs = Math.max(unreadMs, server.nowMs() - channel.waitingSinceMs());
+        }
         return inputWaitingSinceMs == 0 ? unreadMs : Math.max(unreadMs, server.nowMs() - inputWaitingSinceMs);
     }
 
@@ -396,6 +406,16 @@
         return true;
     }
 
+    /** Closes the connection if its client has sent nothing, or needs it no more; returns whether it did. */
+    boolean closeIfUnused() {
+        boolean unused = drainingSinceMs > 0 ? pendingWrites == 0 : nothingReceived && hasNoWork();
+        if (!unused || !channel.isOpenWithoutInput()) {
+            return false;
+        }
+        close();
+        return true;
+    }
+
     /**
      * Refuses the request that is being received, which frees the socket soon; returns whether it did. Another client
      * may be waiting to be accepted, and nothing of this request has been forwarded.
--- a/sidecar/src/main/java/gradehub/node/ClientConnections.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnections.java
@@ -1,11 +1,9 @@
 package gradehub.node;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The open client connections. Each holds a descriptor, so connections that stay silent, never complete a request or do
@@ -19,20 +17,13 @@
     private static final int MIN_SPARE_SOCKETS = 8;
 
     private final Clock clock;
-    private final EventLoopLag lag;
     private final SocketBudget sockets;
     /** Least recently used first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-    ClientConnections(EventLoop loop, Clock clock, EventLoopLag lag, SocketBudget sockets) {
+    ClientConnections(Clock clock, SocketBudget sockets) {
         this.clock = clock;
-        this.lag = lag;
         this.sockets = sockets;
-        loop.scheduleWithFixedDelay(
-                () -> GuardedTask.run("closing overdue client connections", this::closeOverdue),
-                EventLoopLag.PERIOD_MS,
-                EventLoopLag.PERIOD_MS,
-                TimeUnit.MILLISECONDS);
     }
 
     void opened(ClientConnection connection) {
@@ -73,12 +64,21 @@
 
     /** Closes connections that exceed a timeout, and idle ones when sockets run short. */
     void closeOverdue() {
-        lag.sample();
         double nowMs = clock.nowMs();
         all().forEach(connection -> connection.closeIfOverdue(nowMs));
         freeSockets();
     }
 
+    /** Closes the oldest connection of a client that has sent nothing; returns whether there was one. */
+    boolean closeUnused() {
+        for (ClientConnection connection : connections) {
+            if (connection.closeIfUnused()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void freeSockets() {
         int missing = SPARE_SOCKETS - sockets.remainingClientSockets();
         if (missing <= 0) {
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -14,10 +14,11 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /** Server for the application's clients: accepts connections within the socket budget and submits requests to the engine. */
-final class ClientServer {
+final class ClientServer implements ClientListener.ClientSockets {
 
     private static final String READY = "ready";
     private static final String UNKNOWN_ID = "unknown";
@@ -56,14 +57,19 @@
         this.memory = memory;
         this.hasUpstreamList = hasUpstreamList;
         lag = new EventLoopLag(loop, clock);
-        connections = new ClientConnections(loop, clock, lag, sockets);
+        connections = new ClientConnections(clock, sockets);
         sockets.onChange(this::updateAccepting);
+        loop.scheduleWithFixedDelay(
+                () -> GuardedTask.run("checking client connections", this::checkConnections),
+                EventLoopLag.PERIOD_MS,
+                EventLoopLag.PERIOD_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     ChannelFuture bind(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new ClientListener(sockets::remainingClientSockets, memory))
+                .channelFactory(() -> new ClientListener(this, memory, new BacklogWait(clock, lag)))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptOnePerRead())
@@ -116,7 +122,7 @@
      * Accepts the connections pending in the backlog once no new ones arrive. Returns false if some may still be pending.
      */
     boolean acceptPending() {
-        return listener == null || listener.acceptPending(sockets.remainingClientSockets());
+        return listener == null || listener.acceptPending(remaining());
     }
 
     void stopListening() {
@@ -129,8 +135,23 @@
         return connections.openConnections();
     }
 
-    void closeOverdue() {
+    /** Closes overdue connections and looks for clients that wait for one. Runs once in {@link EventLoopLag#PERIOD_MS}. */
+    void checkConnections() {
+        lag.sample();
         connections.closeOverdue();
+        if (listener != null) {
+            listener.checkBacklog(clock.nowMs());
+        }
+    }
+
+    @Override
+    public int remaining() {
+        return sockets.remainingClientSockets();
+    }
+
+    @Override
+    public boolean closeUnused() {
+        return connections.closeUnused();
     }
 
     private void updateAccepting() {
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -43,6 +43,8 @@
     /** The memory of the buffer, or null where it is not counted. */
     private final MemoryBudget.Reservation memory;
 
+    private final double waitingSinceMs;
+
     private boolean inputEnded;
     /** Whether the latest check has read all input that had arrived. */
     private boolean allInputRead;
@@ -63,16 +65,31 @@
     /** Creates a channel for an outgoing connection. */
     ReadAheadChannel() {
         memory = null;
+        waitingSinceMs = 0;
         config().setAllocator(HeapAllocator.INSTANCE);
     }
 
-    /** Creates a channel for an accepted connection; what it reads ahead counts in {@code memory}. */
-    ReadAheadChannel(Channel parent, SocketChannel accepted, MemoryBudget.Reservation memory) {
+    /**
+     * Creates a channel for an accepted connection. What it reads ahead counts in {@code memory}; {@code waitingSinceMs}
+     * is the earliest time at which the peer may have connected, or 0 if it has not waited to be accepted.
+     */
+    ReadAheadChannel(Channel parent, SocketChannel accepted, MemoryBudget.Reservation memory, double waitingSinceMs) {
         super(parent, accepted);
         this.memory = memory;
+        this.waitingSinceMs = waitingSinceMs;
         config().setAllocator(HeapAllocator.INSTANCE);
     }
 
+    /** Returns the earliest time at which the peer may have connected, or 0 if it has not waited to be accepted. */
+    double waitingSinceMs() {
+        return waitingSinceMs;
+    }
+
+    /** Returns how many bytes have arrived and are not delivered yet, as far as they may be read ahead. */
+    int readAheadBytes() {
+        return isOpenWithoutInput() || buffered == null ? 0 : buffered.readableBytes();
+    }
+
     /** Returns whether the channel is open and has no unread input. */
     boolean isOpenWithoutInput() {
         return !isClosedByPeer() && buffered == null;
@@ -140,7 +157,9 @@
 
     /** Closes the channel from the event loop, which cannot see an error that a check has already consumed. */
     private void scheduleClose() {
-        eventLoop().execute(closeTask);
+        if (isRegistered()) {
+            eventLoop().execute(closeTask);
+        }
     }
 
     private void releaseIfEmpty() {
@@ -159,7 +178,9 @@
 
     /** Schedules a read of the buffered input: the selector does not report input already read from the socket. */
     private void scheduleRead() {
-        eventLoop().execute(readTask);
+        if (isRegistered()) {
+            eventLoop().execute(readTask); // otherwise the first read is scheduled once the channel is registered
+        }
     }
 
     private void readBuffered() {
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -261,9 +261,9 @@
         shutDownWhenDrained();
     }
 
-    /** Runs the periodic check that closes overdue client connections. */
-    void closeOverdueClients() {
-        clients.closeOverdue();
+    /** Runs the periodic check of the client connections. */
+    void checkClients() {
+        clients.checkConnections();
     }
 
     /**
--- a/sidecar/src/test/java/gradehub/node/ClientCloseTest.java
+++ b/sidecar/src/test/java/gradehub/node/ClientCloseTest.java
@@ -60,7 +60,7 @@
     private void closeOverdueAfter(long ms, RawConnection client, String request) throws Throwable {
         fixture.whileEventLoopBlocked(() -> {
             spin(ms);
-            fixture.sidecar().loop().execute(fixture.sidecar()::closeOverdueClients);
+            fixture.sidecar().loop().execute(fixture.sidecar()::checkClients);
             client.send(request);
         });
     }
--- a/sidecar/src/test/java/gradehub/node/LateReadTest.java
+++ b/sidecar/src/test/java/gradehub/node/LateReadTest.java
@@ -75,7 +75,7 @@
         try (RawConnection client = fixture.client()) {
             client.send(READY).read();
             fixture.whileEventLoopBlocked(() -> {
-                fixture.sidecar().loop().execute(fixture.sidecar()::closeOverdueClients);
+                fixture.sidecar().loop().execute(fixture.sidecar()::checkClients);
                 client.send(request(1, SHORT_MS));
                 stall();
             });
--- a/sidecar/src/test/java/gradehub/node/ReadAheadMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/ReadAheadMemoryTest.java
@@ -38,7 +38,7 @@
         client = new Socket(RawConnection.loopback(), listener.socket().getLocalPort());
         SocketChannel accepted = listener.accept();
         accepted.configureBlocking(false);
-        channel = new ReadAheadChannel(null, accepted, memory.reservation());
+        channel = new ReadAheadChannel(null, accepted, memory.reservation(), 0);
         channel.config().setAutoRead(false);
         loop.register(channel).syncUninterruptibly();
     }
--- a/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
+++ b/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
@@ -10,13 +10,18 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Clients that are slow to send their requests, when they hold all the sockets that clients may have. */
+/** Clients that send nothing, or send their requests slowly, when they hold all the sockets that clients may have. */
 class SocketShortageTest {
 
     private static final int AVAILABLE_DESCRIPTORS = 40;
     /** The share of the descriptors that the requests of clients may hold: half of the available ones here. */
     private static final int MAX_REQUESTS = 20;
 
+    /** So many that closing them in turn, as sockets get free, would take longer than a request may. */
+    private static final int SILENT_CLIENTS = 400;
+    /** The sidecar refuses requests with little time until it knows the latency of their class. */
+    private static final int FIRST_REQUESTS = 20;
+
     private static final int REMAINING_MS = 1600;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
     private static final int LOST_AFTER_MS = REMAINING_MS + 500;
@@ -44,6 +49,24 @@
         fixture.close();
     }
 
+    private void learnLatency() throws Exception {
+        try (RawConnection client = fixture.client()) {
+            for (int i = 0; i < FIRST_REQUESTS; i++) {
+                client.send(SidecarFixture.getRequest(SidecarFixture.requestId(2000 + i)));
+                assertEquals(200, client.read().status());
+            }
+        }
+    }
+
+    /** Asserts that a request on a new connection is served before it is lost. */
+    private void assertNewClientIsServed() throws Exception {
+        try (RawConnection client = fixture.client()) {
+            client.setReadTimeoutMs(LOST_AFTER_MS);
+            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(1000), REMAINING_MS));
+            assertEquals(200, client.read().status());
+        }
+    }
+
     /** Connects clients that send all of a request but its last byte. */
     private void connectSlowClients(int count) throws Exception {
         for (int i = 0; i < count; i++) {
@@ -55,15 +78,22 @@
     /** Guards against review case 2: new connections were neither accepted nor shut while incomplete requests lasted. */
     @Test
     void incompleteRequestsDoNotKeepNewClientsWaiting() throws Exception {
+        learnLatency();
         connectSlowClients(2 * AVAILABLE_DESCRIPTORS);
-        try (RawConnection client = fixture.client()) {
-            client.setReadTimeoutMs(LOST_AFTER_MS);
-            client.send(SidecarFixture.getRequest(SidecarFixture.requestId(1000), REMAINING_MS));
-            assertEquals(200, client.read().status());
-        }
+        assertNewClientIsServed();
         assertEquals(503, slowClients.get(0).read().status(), "the request that has taken longest is refused");
     }
 
+    /** Guards against review case 8: requests waited in the backlog behind silent clients, each closed after 250 ms. */
+    @Test
+    void silentClientsDoNotKeepNewClientsWaiting() throws Exception {
+        learnLatency();
+        for (int i = 0; i < SILENT_CLIENTS; i++) {
+            slowClients.add(fixture.client());
+        }
+        assertNewClientIsServed();
+    }
+
     /** Guards against refusing slow clients that hold no more than their share of the descriptors. */
     @Test
     void slowClientsWithinTheirShareAreServed() throws Exception {
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -123,7 +123,7 @@
             client.send(SidecarFixture.postRequest(SidecarFixture.requestId(++requests), "x"));
             client.leave(Leaving.CLOSE);
         }
-        fixture.sidecar().loop().submit(fixture.sidecar()::closeOverdueClients).get();
+        fixture.sidecar().loop().submit(fixture.sidecar()::checkClients).get();
         assertEquals(0, fixture.requestsInFlight());
         for (RawConnection connection : held) {
             assertTrue(connection.awaitClose());
