Count the time of each request that was held behind others of its connection

Cause: when several answers left together, the held requests behind them were decoded in one go. While the first was handled the decoder held nothing that is paused, and the socket had no input, so updateInputWaiting took the wait for ended, and the first as well as the rest had their whole time again. Evidence: UnreadInputTest# timeBehindOtherRequestsCountsForAllThatAreReadAtOnce on the old code: told 9,985 of 10,000 ms after 500 ms behind others.

Change: the wait ends only between reads. While input is decoded, what was held with it has waited as long. timeOfAnEarlierWaitDoesNotCount still holds: a request that comes later has its whole time.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -82,6 +82,8 @@
     private boolean resumeScheduled;
     /** Since when input may have waited because of pauses, or 0 once all that had arrived has been read. */
     private double inputWaitingSinceMs;
+    /** Whether input is being decoded: what was held behind the request being decoded has waited as long as that. */
+    private boolean reading;
     /** Whether the client has sent nothing yet. */
     private boolean nothingReceived = true;
     /** Whether any request has been answered. */
@@ -187,6 +189,7 @@
 
     @Override
     public void received(int bytes) {
+        reading = true;
         nothingReceived = false;
         receivedBytes += bytes;
         requestIncomplete();
@@ -221,6 +224,7 @@
         if (requestsAtOnce < MAX_REQUESTS_AT_ONCE) {
             requestsAtOnce = 0;
         }
+        reading = false;
         updateInputWaiting();
         context.fireChannelReadComplete();
     }
@@ -290,7 +294,7 @@
     private void updateInputWaiting() {
         if (isPaused()) {
             inputWaitingSinceMs = inputWaitingSinceMs == 0 ? server.nowMs() : inputWaitingSinceMs;
-        } else if (inputWaitingSinceMs > 0 && !decoder.isHolding() && channel.isOpenWithoutInput()) {
+        } else if (inputWaitingSinceMs > 0 && !reading && !decoder.isHolding() && channel.isOpenWithoutInput()) {
             inputWaitingSinceMs = 0;
         }
     }
--- a/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
+++ b/sidecar/src/test/java/gradehub/node/UnreadInputTest.java
@@ -147,6 +147,31 @@
         }
     }
 
+    /** Guards against review case 7: of several held requests, those behind the first had their whole time again. */
+    @Test
+    void timeBehindOtherRequestsCountsForAllThatAreReadAtOnce() throws Throwable {
+        fixture.start(list(1, upstream, "active"));
+        try (PipeliningClient client = new PipeliningClient(fixture.sidecar().address())) {
+            List<RawConnection> held = holdUntilPaused(client::send);
+            client.sendUntilFull(
+                    REQUESTS_UNTIL_PAUSE,
+                    () -> SidecarFixture.getRequest(SidecarFixture.requestId(++requests), REMAINING_MS));
+            long sentNanos = System.nanoTime();
+            while (System.nanoTime() - sentNanos < TimeUnit.MILLISECONDS.toNanos(WAITED_MS)) {
+                Thread.onSpinWait();
+            }
+            fixture.whileEventLoopBlocked(() -> {
+                for (RawConnection connection : held) {
+                    connection.send(SidecarFixture.answer("200 OK", "", "Connection: close"));
+                }
+            });
+            for (int i = 0; i < REQUESTS_UNTIL_PAUSE; i++) {
+                String remaining = SidecarFixture.accept(upstream).read().header("X-Remaining-Ms");
+                assertTrue(Integer.parseInt(remaining) <= REMAINING_MS - WAITED_MS + SLACK_MS, remaining);
+            }
+        }
+    }
+
     /** Guards against a later request that is charged with the time of an earlier wait. */
     @Test
     void timeOfAnEarlierWaitDoesNotCount() throws Exception {
