Read an answer of an upstream in several turns of the event loop

Cause: a connection to an upstream was read up to 16 times in a turn of the event loop, up to 64 KiB each. Evidence: MessageMemoryTest#longAnswerIsReadInSeveralTurns on the old code: 60 KiB of an answer in one turn.

Change: it is read once in a turn, 16 KiB at most, as a client and a watch are. An answer that is not whole after half a second was given two more reads, as its last bytes may be unread for lack of processor time; it now gets as many as the longest answer in the smallest chunks takes. TurnObserver, which two tests use now, stood in LargeListTest.

--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -49,8 +49,10 @@
     private static final int MAX_INTERIM_ANSWERS = 16;
     /** Time from the first to the last byte of an answer; an answer that takes longer fails the attempt. */
     private static final long ANSWER_TIMEOUT_MS = 500;
-    /** Reads after that timeout: one for the last bytes, and one for the close that follows them. */
-    private static final int FINAL_READS = 2;
+    /** Bytes that carry one byte of a body in a chunk of its own. */
+    private static final int CHUNK_BYTES = 6;
+    /** Reads after that timeout: those of the longest answer that may be unread, and one for the close that follows it. */
+    private static final int FINAL_READS = 2 + CHUNK_BYTES * Upstreams.MAX_BODY_BYTES / ShortReads.MAX_READ_BYTES;
 
     final Upstreams.Pool pool;
     private final Upstreams upstreams;
@@ -81,6 +83,7 @@
                 .channelFactory(() -> channel)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // distinguishes a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, ShortReads.allocator())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
--- a/sidecar/src/test/java/gradehub/node/LargeListTest.java
+++ b/sidecar/src/test/java/gradehub/node/LargeListTest.java
@@ -3,13 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.SingleThreadEventLoop;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** A list of upstreams as large as the largest expected fleet. */
@@ -138,39 +135,14 @@
                 String left = SidecarFixture.member("u" + i, SidecarFixture.address(upstream), "left");
                 changes[i] = SidecarFixture.chunk(SidecarFixture.list(2 + i, false, left));
             }
-            TurnObserver observer = new TurnObserver(fixture.sidecar());
-            fixture.sidecar().loop().execute(observer::observe);
+            TurnObserver observer = TurnObserver.start(
+                    fixture.sidecar().loop(),
+                    () -> RELEASE_UPSTREAMS - fixture.sidecar().engine().upstreamCount());
             Thread sender = sendInBackground(watch, String.join("", changes));
-            int most = observer.mostInOneTurn.get(RawConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            long most = observer.mostInOneTurnUntil(REPLACED);
             sender.join();
             int readable = ShortReads.MAX_READ_BYTES / changes[0].length() + 1;
             assertTrue(most <= readable, most + " changes in one turn, " + readable + " in one read");
         }
     }
-
-    /** Counts the upstreams that leave in each turn of the event loop until all of the release have left. */
-    private static final class TurnObserver {
-        final CompletableFuture<Integer> mostInOneTurn = new CompletableFuture<>();
-        private final Sidecar sidecar;
-        private int before = RELEASE_UPSTREAMS;
-        private int most;
-
-        TurnObserver(Sidecar sidecar) {
-            this.sidecar = sidecar;
-        }
-
-        void observe() {
-            int now = sidecar.engine().upstreamCount();
-            most = Math.max(most, before - now);
-            before = now;
-            if (now == RELEASE_UPSTREAMS - REPLACED) {
-                mostInOneTurn.complete(most);
-                return;
-            }
-            // A task that adds another one would keep the loop from its sockets, so the next one follows the turn.
-            sidecar.loop()
-                    .execute(() ->
-                            ((SingleThreadEventLoop) sidecar.loop()).executeAfterEventLoopIteration(this::observe));
-        }
-    }
 }
