Bound what all connections together read in a turn of the event loop

Cause, in two parts: - Each connection was read once in a turn of the event loop, up to 16 KiB, so that a turn took as long as there were peers with much input. Eight stack dumps: six in readBuffered, which delivers what a check of the connection has read ahead. Each delivery scheduled another one, as a task, which ran in the same turn: the loop runs tasks for up to a second before it looks at its sockets.

A channel schedules one delivery of buffered input at a time, as a timer that is due at once, which runs in the next turn. ShortReads is set by the channel itself, so that no kind of connection can miss it.

--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -73,7 +73,6 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptOnePerRead())
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ShortReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/sidecar/src/main/java/gradehub/node/Discovery.java
+++ b/sidecar/src/main/java/gradehub/node/Discovery.java
@@ -277,7 +277,6 @@
                     .group(loop)
                     .channelFactory(() -> channel)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMs))
-                    .option(ChannelOption.RECVBUF_ALLOCATOR, ShortReads.allocator())
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel created) {
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A socket channel that can check for unread input, or for a close by the peer, ahead of the event loop's next read.
@@ -61,12 +62,13 @@
     private final Runnable closeTask = this::close;
 
     private final Runnable readTask = this::readBuffered;
+    private boolean readScheduled;
 
     /** Creates a channel for an outgoing connection. */
     ReadAheadChannel() {
         memory = null;
         waitingSinceMs = 0;
-        config().setAllocator(HeapAllocator.INSTANCE);
+        configure();
     }
 
     /**
@@ -77,7 +79,12 @@
         super(parent, accepted);
         this.memory = memory;
         this.waitingSinceMs = waitingSinceMs;
+        configure();
+    }
+
+    private void configure() {
         config().setAllocator(HeapAllocator.INSTANCE);
+        config().setRecvByteBufAllocator(new ShortReads(this));
     }
 
     /** Returns the earliest time at which the peer may have connected, or 0 if it has not waited to be accepted. */
@@ -176,14 +183,20 @@
         }
     }
 
-    /** Schedules a read of the buffered input: the selector does not report input already read from the socket. */
+    /**
+     * Schedules a read of the buffered input: the selector does not report input already read from the socket. Before it is
+     * registered, a channel is not read. A timer that is due runs in the next turn of the event loop; tasks run in this one
+     * as long as each adds another, while all sockets wait.
+     */
     private void scheduleRead() {
-        if (isRegistered()) {
-            eventLoop().execute(readTask); // otherwise the first read is scheduled once the channel is registered
+        if (isRegistered() && !readScheduled) {
+            readScheduled = true;
+            eventLoop().schedule(readTask, 0, TimeUnit.NANOSECONDS);
         }
     }
 
     private void readBuffered() {
+        readScheduled = false;
         if (buffered != null && isOpen() && config().isAutoRead()) {
             readUnreported();
         }
--- a/sidecar/src/main/java/gradehub/node/ShortReads.java
+++ b/sidecar/src/main/java/gradehub/node/ShortReads.java
@@ -1,20 +1,63 @@
 package gradehub.node;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.SingleThreadEventLoop;
 
-/** Limits what a channel reads in a turn of the event loop: all other connections wait until it has been processed. */
-final class ShortReads {
+/**
+ * Limits what a channel reads in a turn of the event loop: all other connections wait until it has been processed. A channel
+ * is read once in a turn, and less where others have been read in the same turn.
+ */
+final class ShortReads implements RecvByteBufAllocator {
 
     static final int MAX_READ_BYTES = 16 * 1024;
 
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
 
-    private ShortReads() {}
+    private static final RecvByteBufAllocator ADAPTIVE =
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1);
 
-    /** Returns the allocator of one channel, which reads once in a turn. */
-    static RecvByteBufAllocator allocator() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1);
+    private final Channel channel;
+
+    /** Creates the allocator of one channel. */
+    ShortReads(Channel channel) {
+        this.channel = channel;
+    }
+
+    @Override
+    public ShortReadHandle newHandle() {
+        return new ShortReadHandle();
+    }
+
+    /** Decides on the size of the next read of the channel. */
+    final class ShortReadHandle extends DelegatingHandle {
+
+        private final TurnReadBudget budget = TurnReadBudget.current();
+
+        private ShortReadHandle() {
+            super(ADAPTIVE.newHandle());
+        }
+
+        @Override
+        public int guess() {
+            return Math.min(super.guess(), budget.nextReadBytes());
+        }
+
+        @Override
+        public ByteBuf allocate(ByteBufAllocator allocator) {
+            return allocator.ioBuffer(guess());
+        }
+
+        @Override
+        public void lastBytesRead(int bytes) {
+            if (bytes > 0) {
+                budget.recordRead(bytes, (SingleThreadEventLoop) channel.eventLoop());
+            }
+            super.lastBytesRead(bytes);
+        }
     }
 }
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -83,7 +83,6 @@
                 .channelFactory(() -> channel)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // distinguishes a close by the upstream from a reset
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, ShortReads.allocator())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
