Mark times in the backlog only once it has not been empty for 100 ms, and then at each check

What callers saw (trial, 400 peers at once that send half a request, 256 descriptors): 7 of 429 requests of ordinary clients were refused with markers 100 ms apart, as they were charged with up to 0.1 s too much.

Change: markers are placed at each check, 50 ms apart, and not before clients may have waited for 100 ms: a crowd of as many idle clients as a sidecar has descriptors is swept by then, and needs none.

--- a/sidecar/src/main/java/gradehub/node/BacklogMarkers.java
+++ b/sidecar/src/main/java/gradehub/node/BacklogMarkers.java
@@ -20,8 +20,10 @@
         private double placedMs;
     }
 
-    private static final double INTERVAL_MS = 100;
-    private static final int MAX_MARKERS = 32;
+    /** Shorter than the period of the checks that place markers, so that each of them places one. */
+    private static final double INTERVAL_MS = 40;
+    /** Enough for the longest time that a client waits for an answer. */
+    private static final int MAX_MARKERS = 64;
 
     private final Marker[] markers = new Marker[MAX_MARKERS];
     private final RateLimitedLog failureLog = new RateLimitedLog();
--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -32,6 +32,9 @@
     /** Limit on silent clients closed for them at once: their descriptors are free only in the next turn of the loop. */
     private static final int MAX_REPLACED = 8;
 
+    /** A backlog that is not empty for longer is marked, so that clients are not charged with the wait of earlier ones. */
+    private static final double MAX_UNMARKED_WAIT_MS = 100;
+
     private final ClientSockets clients;
     private final MemoryBudget memory;
     private final BacklogWait backlogWait;
@@ -219,7 +222,7 @@
         } catch (IOException | ChannelException e) {
             acceptFailed("can't accept client connections: ", e);
         }
-        if (!emptied) {
+        if (!emptied && nowMs - backlogWait.sinceMs() > MAX_UNMARKED_WAIT_MS) {
             markers.place(localAddress(), nowMs);
         }
     }
