Wait for input that has been read ahead before an overdue request is refused

Cause: a request whose time is over is refused at the second check that finds it incomplete, as the first may have read its rest ahead. That rest was delivered by a task, before the next check could run. As a timer it may come after it, where a check is overdue too, as after a stall of 2.3 s here; and a long rest now takes several turns.

Change: the second check waits while input that has been read ahead is not delivered, for 200 ms at most, so that a peer which never ends its request still gets its error in time.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -30,6 +30,8 @@
     static final double SHUTDOWN_REQUEST_TIMEOUT_MS = 500;
     /** Time limit for the first byte when sockets run short: clients normally send as soon as they are connected. */
     private static final double FIRST_BYTE_TIMEOUT_MS = 250;
+    /** How long the input that such a check finds may take to be delivered, in several turns of the event loop. */
+    private static final double DELIVERY_TIMEOUT_MS = 200;
     /** When sockets run out, an incomplete request may be refused this long after its first byte. */
     private static final double MIN_RECEIVE_MS = 250;
     /** When sockets run short, a connection may be closed after being idle for this long. */
@@ -90,8 +92,8 @@
     private boolean answered;
     /** Whether further input is discarded instead of being decoded as requests. */
     private boolean discarding;
-    /** Whether unread input has been checked for since the request became overdue. */
-    private boolean unreadInputChecked;
+    /** When unread input was checked for since the request became overdue, or 0 before that. */
+    private double unreadInputCheckedMs;
 
     ClientConnection(ReadAheadChannel channel, ClientServer server, BodyCollector body) {
         this.channel = channel;
@@ -253,7 +255,7 @@
         }
         receivingSinceMs = 0;
         idleSinceMs = 0;
-        unreadInputChecked = false;
+        unreadInputCheckedMs = 0;
         if (message.decoderResult().isFailure()) {
             reject(message.decoderResult().cause());
             return;
@@ -452,7 +454,7 @@
                 || drainingSinceMs > 0 && nowMs - drainingSinceMs > DRAIN_TIMEOUT_MS
                 || writingSinceMs > 0 && nowMs - writingSinceMs > ANSWER_READ_TIMEOUT_MS) {
             close();
-        } else if (receivingSinceMs > 0 && nowMs > receiveDeadlineMs() && isInputRead()) {
+        } else if (receivingSinceMs > 0 && nowMs > receiveDeadlineMs() && isInputRead(nowMs)) {
             if (nothingReceived) {
                 shutdown();
             } else {
@@ -469,10 +471,12 @@
     }
 
     /** Elapsed time alone proves no timeout: input may have arrived in time and be unread for lack of CPU time. */
-    private boolean isInputRead() {
-        boolean inputRead = unreadInputChecked || channel.isOpenWithoutInput();
-        unreadInputChecked = true;
-        return inputRead;
+    private boolean isInputRead(double nowMs) {
+        if (unreadInputCheckedMs == 0) {
+            unreadInputCheckedMs = nowMs;
+            return channel.isOpenWithoutInput();
+        }
+        return !channel.isDeliveringInput() || nowMs - unreadInputCheckedMs > DELIVERY_TIMEOUT_MS;
     }
 
     /** Closes the connection unless a request is open, being received or likely to arrive: that is answered first. */
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -97,6 +97,11 @@
         return isOpenWithoutInput() || buffered == null ? 0 : buffered.readableBytes();
     }
 
+    /** Returns whether there is input that has been read ahead and not delivered yet. */
+    boolean isDeliveringInput() {
+        return buffered != null;
+    }
+
     /** Returns whether the channel is open and has no unread input. */
     boolean isOpenWithoutInput() {
         return !isClosedByPeer() && buffered == null;
