Keep the sidecar's own connections out of the read budget of its clients

Cause: put all connections of the loop under one budget, so that an answer was read 256 bytes a turn while clients sent much, and passed its time of half a second. Such an answer belongs to a request of the sidecar's own, of which there are few; the budget is for peers, of which anybody may open hundreds.

Change: only accepted connections share the budget. The listener is not looked at after it has been closed; each look could have logged a failed accept.

--- a/sidecar/src/main/java/gradehub/node/ClientListener.java
+++ b/sidecar/src/main/java/gradehub/node/ClientListener.java
@@ -213,7 +213,7 @@
      * sockets of clients that have not; those that have sent nothing are closed, as they would keep the others waiting.
      */
     void checkBacklog(double nowMs) {
-        if (paused) {
+        if (paused || !isOpen()) {
             return;
         }
         boolean emptied = !backlogWait.isPossible();
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -68,7 +68,7 @@
     ReadAheadChannel() {
         memory = null;
         waitingSinceMs = 0;
-        configure();
+        configure(false);
     }
 
     /**
@@ -79,12 +79,12 @@
         super(parent, accepted);
         this.memory = memory;
         this.waitingSinceMs = waitingSinceMs;
-        configure();
+        configure(true);
     }
 
-    private void configure() {
+    private void configure(boolean accepted) {
         config().setAllocator(HeapAllocator.INSTANCE);
-        config().setRecvByteBufAllocator(new ShortReads(this));
+        config().setRecvByteBufAllocator(new ShortReads(this, accepted));
     }
 
     /** Returns the earliest time at which the peer may have connected, or 0 if it has not waited to be accepted. */
--- a/sidecar/src/main/java/gradehub/node/ShortReads.java
+++ b/sidecar/src/main/java/gradehub/node/ShortReads.java
@@ -8,8 +8,9 @@
 import io.netty.channel.SingleThreadEventLoop;
 
 /**
- * Limits what a channel reads in a turn of the event loop: all other connections wait until it has been processed. A channel
- * is read once in a turn, and less where others have been read in the same turn.
+ * Limits what a channel reads in a turn of the event loop: all other connections wait until it has been processed. Each
+ * channel is read once in a turn. Accepted ones, of which anybody may open hundreds, also share a budget; what comes on a
+ * connection that the sidecar has opened answers a request of its own and does not wait for them.
  */
 final class ShortReads implements RecvByteBufAllocator {
 
@@ -22,10 +23,12 @@
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1);
 
     private final Channel channel;
+    private final boolean accepted;
 
-    /** Creates the allocator of one channel. */
-    ShortReads(Channel channel) {
+    /** Creates the allocator of one channel; {@code accepted} says that the peer has opened it. */
+    ShortReads(Channel channel, boolean accepted) {
         this.channel = channel;
+        this.accepted = accepted;
     }
 
     @Override
@@ -44,7 +47,7 @@
 
         @Override
         public int guess() {
-            return Math.min(super.guess(), budget.nextReadBytes());
+            return accepted ? Math.min(super.guess(), budget.nextReadBytes()) : super.guess();
         }
 
         @Override
@@ -54,7 +57,7 @@
 
         @Override
         public void lastBytesRead(int bytes) {
-            if (bytes > 0) {
+            if (accepted && bytes > 0) {
                 budget.recordRead(bytes, (SingleThreadEventLoop) channel.eventLoop());
             }
             super.lastBytesRead(bytes);
--- a/sidecar/src/main/java/gradehub/node/TurnReadBudget.java
+++ b/sidecar/src/main/java/gradehub/node/TurnReadBudget.java
@@ -4,7 +4,7 @@
 import io.netty.util.concurrent.FastThreadLocal;
 
 /**
- * The input that the channels of one event loop may read in a turn. Each channel may read a little in any case; otherwise
+ * The input that the accepted channels of one event loop may read in a turn. Each may read a little in any case; otherwise
  * hundreds of peers that send much at once would make each turn take seconds, also for clients that send one request.
  */
 final class TurnReadBudget {
--- a/sidecar/src/test/java/gradehub/node/ShortReadsTest.java
+++ b/sidecar/src/test/java/gradehub/node/ShortReadsTest.java
@@ -1,7 +1,9 @@
 package gradehub.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.SingleThreadEventLoop;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
@@ -77,6 +79,21 @@
         }
     }
 
+    /** Guards against answers of upstreams that are read a little at a time because clients send much. */
+    @Test
+    void connectionsOfTheSidecarDoNotShareTheBudgetOfItsClients() throws Exception {
+        SingleThreadEventLoop loop = (SingleThreadEventLoop) fixture.sidecar().loop();
+        int[] sizes = loop.submit(() -> {
+                    TurnReadBudget.current().recordRead(TurnReadBudget.TURN_BYTES, loop);
+                    int accepted = new ShortReads(null, true).newHandle().guess();
+                    int opened = new ShortReads(null, false).newHandle().guess();
+                    return new int[] {accepted, opened};
+                })
+                .get();
+        assertEquals(TurnReadBudget.SHORT_READ_BYTES, sizes[0]);
+        assertTrue(sizes[1] > TurnReadBudget.SHORT_READ_BYTES, sizes[1] + " bytes");
+    }
+
     private static void sendToAll(List<RawConnection> clients, String input) throws IOException {
         for (RawConnection client : clients) {
             client.send(input);
