Take the buffer of input read ahead and the bound on unread time out of their connections

ReadAheadChannel and ClientConnection had grown. ReadAheadBuffer holds what has been read ahead; UnreadTime bounds how long a request has waited before it was read. No behaviour changes. Two tests shared learnLatency, which is the fixture's now.

LargeListTest#requestsAreAnsweredWhileAReleaseIsTold could end without a request if the release was sent at once; it now asks until the last change is known, and fails without a request.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -57,6 +57,7 @@
     private final ClientServer server;
     private final BodyCollector body;
     private final RequestDecoder decoder = new RequestDecoder(this);
+    private final UnreadTime unreadTime;
     private final ArrayDeque<PendingAnswer> pending = new ArrayDeque<>();
     /** When the connection became idle, or 0 while it is not. */
     private double idleSinceMs;
@@ -67,12 +68,6 @@
     /** When the output was shut down, or 0 before that. */
     private double drainingSinceMs;
 
-    private double openedMs;
-    private double lagAtOpenMs;
-    /** Input that had arrived when the connection was accepted, if it may have waited for that. */
-    private int bytesAtOpen;
-
-    private long receivedBytes;
     private int pendingWrites;
     private int drainedBytes;
     /** The number of requests read without a pause. */
@@ -82,10 +77,6 @@
 
     private final Runnable resumeDecoding = this::resumeDecoding;
     private boolean resumeScheduled;
-    /** Since when input may have waited because of pauses, or 0 once all that had arrived has been read. */
-    private double inputWaitingSinceMs;
-    /** Whether input is being decoded: what was held behind the request being decoded has waited as long as that. */
-    private boolean reading;
     /** Whether the client has sent nothing yet. */
     private boolean nothingReceived = true;
     /** Whether any request has been answered. */
@@ -99,6 +90,7 @@
         this.channel = channel;
         this.server = server;
         this.body = body;
+        unreadTime = new UnreadTime(channel.waitingSinceMs());
     }
 
     RequestDecoder decoder() {
@@ -180,10 +172,9 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        openedMs = server.nowMs();
-        lagAtOpenMs = server.lagMs();
-        receivingSinceMs = openedMs;
-        bytesAtOpen = channel.waitingSinceMs() > 0 ? channel.readAheadBytes() : 0;
+        receivingSinceMs = server.nowMs();
+        int arrivedBytes = channel.waitingSinceMs() > 0 ? channel.readAheadBytes() : 0;
+        unreadTime.opened(receivingSinceMs, server.lagMs(), arrivedBytes);
         server.connections().opened(this);
     }
 
@@ -191,9 +182,8 @@
 
     @Override
     public void received(int bytes) {
-        reading = true;
         nothingReceived = false;
-        receivedBytes += bytes;
+        unreadTime.received(bytes);
         requestIncomplete();
         if (drainingSinceMs > 0) {
             drainedBytes += bytes;
@@ -226,8 +216,8 @@
         if (requestsAtOnce < MAX_REQUESTS_AT_ONCE) {
             requestsAtOnce = 0;
         }
-        reading = false;
-        updateInputWaiting();
+        unreadTime.readCompleted();
+        updateUnreadTime();
         context.fireChannelReadComplete();
     }
 
@@ -277,27 +267,11 @@
         }
     }
 
-    /**
-     * Returns an upper bound on how long the request just read has waited. The first request of a client that was
-     * accepted late may have arrived before the accept; this is assumed if it is read within the lag measured at the
-     * accept. If it had arrived before an accept for which clients had to wait, it may have waited for as long as any of
-     * them. Behind other requests of its connection it may have waited since reading paused.
-     */
-    private double maxUnreadMs() {
-        double sinceOpenedMs = server.nowMs() - openedMs;
-        boolean mayHaveWaited = !answered && pending.size() == 1 && sinceOpenedMs < lagAtOpenMs;
-        double unreadMs = Math.max(server.lagMs(), mayHaveWaited ? lagAtOpenMs + sinceOpenedMs : 0);
-        if (receivedBytes <= bytesAtOpen) {
-            unreadMs = Math.max(unreadMs, server.nowMs() - channel.waitingSinceMs());
-        }
-        return inputWaitingSinceMs == 0 ? unreadMs : Math.max(unreadMs, server.nowMs() - inputWaitingSinceMs);
-    }
-
-    private void updateInputWaiting() {
+    private void updateUnreadTime() {
         if (isPaused()) {
-            inputWaitingSinceMs = inputWaitingSinceMs == 0 ? server.nowMs() : inputWaitingSinceMs;
-        } else if (inputWaitingSinceMs > 0 && !reading && !decoder.isHolding() && channel.isOpenWithoutInput()) {
-            inputWaitingSinceMs = 0;
+            unreadTime.paused(server.nowMs());
+        } else if (unreadTime.mayEndWait() && !decoder.isHolding() && channel.isOpenWithoutInput()) {
+            unreadTime.waitEnded();
         }
     }
 
@@ -305,7 +279,9 @@
         try {
             ClientRequest request = server.open(message, next);
             next.id = request.id();
-            next.exchange = server.submit(request, maxUnreadMs(), next);
+            boolean first = !answered && pending.size() == 1;
+            double unreadMs = unreadTime.maxMs(server.nowMs(), server.lagMs(), first);
+            next.exchange = server.submit(request, unreadMs, next);
         } catch (RejectedException e) {
             server.recordRejected(message, e);
             // Closes the connection: a client could keep the event loop busy with thousands of rejected requests.
@@ -367,7 +343,7 @@
     /** Reads on once the input that was read before a pause has been decoded: no more than one read is held. */
     private void updateAutoRead() {
         boolean taking = !discarding && !isPaused();
-        updateInputWaiting();
+        updateUnreadTime();
         channel.config().setAutoRead(drainingSinceMs > 0 || taking && !decoder.isHolding());
         if (taking && decoder.isHolding() && !resumeScheduled) {
             resumeScheduled = true;
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -28,22 +28,7 @@
         UNKNOWN
     }
 
-    /** Limit of the buffer, larger than any request; beyond it, or beyond the memory, a peer's state is unknown. */
-    private static final int MAX_BUFFERED_BYTES = 1 << 17;
-
-    private static final int INITIAL_BUFFER_BYTES = 1024;
-
-    /** Result of a socket read at the end of the stream; other negative results do not mean the end. */
-    private static final int END_OF_STREAM = -1;
-    /** Result of a socket read when no input is available. */
-    private static final int NO_INPUT = 0;
-    /** Limit of interrupted reads in one check; the event loop reads the rest. */
-    private static final int MAX_INTERRUPTED_READS = 16;
-
-    private ByteBuf buffered;
-    /** The memory of the buffer, or null where it is not counted. */
-    private final MemoryBudget.Reservation memory;
-
+    private final ReadAheadBuffer buffer;
     private final double waitingSinceMs;
 
     private boolean inputEnded;
@@ -66,7 +51,7 @@
 
     /** Creates a channel for an outgoing connection. */
     ReadAheadChannel() {
-        memory = null;
+        buffer = new ReadAheadBuffer(null);
         waitingSinceMs = 0;
         configure(false);
     }
@@ -77,7 +62,7 @@
      */
     ReadAheadChannel(Channel parent, SocketChannel accepted, MemoryBudget.Reservation memory, double waitingSinceMs) {
         super(parent, accepted);
-        this.memory = memory;
+        buffer = new ReadAheadBuffer(memory);
         this.waitingSinceMs = waitingSinceMs;
         configure(true);
     }
@@ -94,17 +79,17 @@
 
     /** Returns how many bytes have arrived and are not delivered yet, as far as they may be read ahead. */
     int readAheadBytes() {
-        return isOpenWithoutInput() || buffered == null ? 0 : buffered.readableBytes();
+        return isOpenWithoutInput() ? 0 : buffer.readableBytes();
     }
 
     /** Returns whether there is input that has been read ahead and not delivered yet. */
     boolean isDeliveringInput() {
-        return buffered != null;
+        return !buffer.isEmpty();
     }
 
     /** Returns whether the channel is open and has no unread input. */
     boolean isOpenWithoutInput() {
-        return !isClosedByPeer() && buffered == null;
+        return !isClosedByPeer() && buffer.isEmpty();
     }
 
     /** Checks whether the peer is still connected, as far as the input that may be read ahead shows it. */
@@ -124,47 +109,18 @@
     }
 
     private void fillBuffer() {
-        if (buffered == null) {
-            // Array-backed: copying between buffers uses a method handle that would be compiled while requests wait.
-            buffered = alloc().heapBuffer(INITIAL_BUFFER_BYTES, MAX_BUFFERED_BYTES);
-        }
-        int before = buffered.readableBytes();
+        int before = buffer.readableBytes();
         try {
-            int read = readIntoBuffer();
-            inputEnded = read == END_OF_STREAM;
-            allInputRead = read == NO_INPUT || inputEnded;
+            int read = buffer.readFrom(javaChannel());
+            inputEnded = read == ReadAheadBuffer.END_OF_STREAM;
+            allInputRead = read == ReadAheadBuffer.NO_INPUT || inputEnded;
         } catch (IOException e) {
             inputEnded = true;
             scheduleClose();
         }
-        if (buffered.readableBytes() > before) {
+        if (buffer.readableBytes() > before) {
             scheduleRead();
         }
-        releaseIfEmpty();
-    }
-
-    /** Reads the available input into the buffer and returns the result of the last read. */
-    private int readIntoBuffer() throws IOException {
-        int read = 1;
-        int interrupted = 0;
-        while ((read > 0 || read < END_OF_STREAM && interrupted++ < MAX_INTERRUPTED_READS) && makeWritable()) {
-            read = buffered.writeBytes(javaChannel(), buffered.writableBytes());
-        }
-        return read;
-    }
-
-    /** Doubles a full buffer; returns false if its limit or the memory does not allow that. */
-    private boolean makeWritable() {
-        if (buffered.isWritable()) {
-            return true;
-        }
-        int capacity = Math.min(2 * buffered.capacity(), MAX_BUFFERED_BYTES);
-        int increment = capacity - buffered.capacity();
-        if (increment == 0 || memory != null && !memory.tryGrow(increment)) {
-            return false;
-        }
-        buffered.capacity(capacity);
-        return true;
     }
 
     /** Closes the channel from the event loop, which cannot see an error that a check has already consumed. */
@@ -174,20 +130,6 @@
         }
     }
 
-    private void releaseIfEmpty() {
-        if (buffered != null && !buffered.isReadable()) {
-            releaseBuffer();
-        }
-    }
-
-    private void releaseBuffer() {
-        buffered.release();
-        buffered = null;
-        if (memory != null) {
-            memory.release();
-        }
-    }
-
     /**
      * Schedules a read of the buffered input: the selector does not report input already read from the socket. Before it is
      * registered, a channel is not read. A timer that is due runs in the next turn of the event loop; tasks run in this one
@@ -202,7 +144,7 @@
 
     private void readBuffered() {
         readScheduled = false;
-        if (buffered != null && isOpen() && config().isAutoRead()) {
+        if (!buffer.isEmpty() && isOpen() && config().isAutoRead()) {
             readUnreported();
         }
     }
@@ -311,7 +253,7 @@
         if (addsInterest) {
             registrationMonitor.registrationChanged();
         }
-        if (buffered != null) {
+        if (!buffer.isEmpty()) {
             scheduleRead();
         }
     }
@@ -321,15 +263,13 @@
         if (!unreportedRead) {
             registrationMonitor.readReadinessReported();
         }
-        if (buffered == null) {
+        if (buffer.isEmpty()) {
             int read = super.doReadBytes(target);
-            return read < END_OF_STREAM ? 0 : read; // interrupted read: the selector reports the input again
+            // After an interrupted read the selector reports the input again.
+            return read < ReadAheadBuffer.END_OF_STREAM ? 0 : read;
         }
-        int bytes = Math.min(buffered.readableBytes(), target.writableBytes());
-        target.writeBytes(buffered.array(), buffered.arrayOffset() + buffered.readerIndex(), bytes);
-        buffered.skipBytes(bytes);
-        releaseIfEmpty();
-        if (buffered != null) {
+        int bytes = buffer.moveTo(target);
+        if (!buffer.isEmpty()) {
             scheduleRead();
         }
         return bytes;
@@ -337,9 +277,7 @@
 
     @Override
     protected void doClose() throws Exception {
-        if (buffered != null) {
-            releaseBuffer();
-        }
+        buffer.release();
         if (registrationMonitor != null) {
             registrationMonitor.closed();
         }
--- a/sidecar/src/test/java/gradehub/node/LargeListTest.java
+++ b/sidecar/src/test/java/gradehub/node/LargeListTest.java
@@ -18,7 +18,6 @@
     private static final int RELEASE_UPSTREAMS = 3200;
 
     private static final int REPLACED = 1920;
-    private static final int FIRST_REQUESTS = 40;
     private static final int REMAINING_MS = 720;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
     private static final int LOST_AFTER_MS = REMAINING_MS + 500;
@@ -80,16 +79,6 @@
         return changes.toString();
     }
 
-    /** Sends requests with much time: the sidecar refuses those with little until it knows the latency of their class. */
-    private static void learnLatency(SidecarFixture fixture) throws IOException {
-        try (RawConnection client = fixture.client()) {
-            for (int i = 0; i < FIRST_REQUESTS; i++) {
-                client.send(SidecarFixture.getRequest(SidecarFixture.requestId(i)));
-                assertEquals(200, client.read().status());
-            }
-        }
-    }
-
     private static Thread sendInBackground(RawConnection watch, String changes) {
         Thread sender = new Thread(() -> {
             try {
@@ -108,22 +97,32 @@
         try (SidecarFixture fixture = new SidecarFixture();
                 StubServer upstream = StubServer.upstream()) {
             RawConnection watch = startLargestFleet(fixture, upstream.address());
-            learnLatency(fixture);
-            Thread sender = sendInBackground(watch, release(upstream.address()));
+            fixture.learnLatency();
+            String last = SidecarFixture.list(
+                    2 + REPLACED, false, SidecarFixture.member("last", upstream.address(), "active"));
+            Thread sender = sendInBackground(watch, release(upstream.address()) + SidecarFixture.chunk(last));
             try (RawConnection client = fixture.client()) {
                 client.setReadTimeoutMs(LOST_AFTER_MS);
-                for (int i = FIRST_REQUESTS; sender.isAlive(); i++) {
-                    client.send(SidecarFixture.getRequest(SidecarFixture.requestId(i), REMAINING_MS));
+                int requests = 0;
+                while (upstreamCount(fixture) != RELEASE_UPSTREAMS + 1) {
+                    String id = SidecarFixture.requestId(requests++);
+                    client.send(SidecarFixture.getRequest(id, REMAINING_MS));
                     assertEquals(200, client.read().status());
                 }
+                assertTrue(requests > 0, "the release was over before the first request");
             }
             sender.join();
-            watch.send(SidecarFixture.chunk(SidecarFixture.list(
-                    2 + REPLACED, false, SidecarFixture.member("last", upstream.address(), "active"))));
-            fixture.awaitOnEventLoop(() -> fixture.sidecar().engine().upstreamCount() == RELEASE_UPSTREAMS + 1);
         }
     }
 
+    /** Returns the count by a task, which runs before the event loop has applied all that is told. */
+    private static int upstreamCount(SidecarFixture fixture) throws Exception {
+        return fixture.sidecar()
+                .loop()
+                .submit(fixture.sidecar().engine()::upstreamCount)
+                .get();
+    }
+
     /** Guards against review case 6: all changes that had arrived were applied in one turn of the event loop. */
     @Test
     void changesThatArriveAtOnceAreAppliedInManyTurns() throws Exception {
--- a/sidecar/src/test/java/gradehub/node/SidecarFixture.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarFixture.java
@@ -22,6 +22,10 @@
     static final String SAFE_CLASS = "window-read";
     static final String UNSAFE_CLASS = "event-submit";
 
+    private static final int FIRST_REQUESTS = 40;
+    /** Above the identifiers that tests use. */
+    private static final int FIRST_REQUEST_ID = 1 << 20;
+
     private static final String WATCH_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String SETTINGS = """
             {"instances":1,"tickMs":5.0,"membershipMode":"push","failureDomains":["a","b"],"kinds":["k"],
@@ -234,6 +238,16 @@
         }
     }
 
+    /** Sends requests with much time: the sidecar refuses those with little until it knows the latency of their class. */
+    void learnLatency() throws IOException {
+        try (RawConnection client = client()) {
+            for (int i = 0; i < FIRST_REQUESTS; i++) {
+                client.send(getRequest(requestId(FIRST_REQUEST_ID + i)));
+                assertEquals(200, client.read().status());
+            }
+        }
+    }
+
     static RawConnection accept(ServerSocket socket) throws IOException {
         return new RawConnection(socket.accept());
     }
--- a/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
+++ b/sidecar/src/test/java/gradehub/node/SocketShortageTest.java
@@ -19,8 +19,6 @@
 
     /** So many that closing them in turn, as sockets get free, would take longer than a request may. */
     private static final int SILENT_CLIENTS = 400;
-    /** The sidecar refuses requests with little time until it knows the latency of their class. */
-    private static final int FIRST_REQUESTS = 20;
 
     private static final int REMAINING_MS = 1600;
     /** A request is lost if its answer comes later than half a second after the client's waiting time. */
@@ -49,15 +47,6 @@
         fixture.close();
     }
 
-    private void learnLatency() throws Exception {
-        try (RawConnection client = fixture.client()) {
-            for (int i = 0; i < FIRST_REQUESTS; i++) {
-                client.send(SidecarFixture.getRequest(SidecarFixture.requestId(2000 + i)));
-                assertEquals(200, client.read().status());
-            }
-        }
-    }
-
     /** Asserts that a request on a new connection is served before it is lost. */
     private void assertNewClientIsServed() throws Exception {
         try (RawConnection client = fixture.client()) {
@@ -78,7 +67,7 @@
     /** Guards against review case 2: new connections were neither accepted nor shut while incomplete requests lasted. */
     @Test
     void incompleteRequestsDoNotKeepNewClientsWaiting() throws Exception {
-        learnLatency();
+        fixture.learnLatency();
         connectSlowClients(2 * AVAILABLE_DESCRIPTORS);
         assertNewClientIsServed();
         assertEquals(503, slowClients.get(0).read().status(), "the request that has taken longest is refused");
@@ -87,7 +76,7 @@
     /** Guards against review case 8: requests waited in the backlog behind silent clients, each closed after 250 ms. */
     @Test
     void silentClientsDoNotKeepNewClientsWaiting() throws Exception {
-        learnLatency();
+        fixture.learnLatency();
         for (int i = 0; i < SILENT_CLIENTS; i++) {
             slowClients.add(fixture.client());
         }
