--- a/sidecar/src/test/java/gradehub/node/SidecarProcess.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarProcess.java
@@ -20,6 +20,9 @@
     /** The memory limit of the scored days. */
     static final long MEMORY_LIMIT_KB = 192 * 1024;
 
+    /** Part of the path of requests that ask the upstream for a large answer. */
+    static final String LARGE = "large";
+
     private static final long POLL_MS = 5;
 
     private final Path config;
--- a/sidecar/src/test/java/gradehub/node/SidecarWithPeers.java
+++ b/sidecar/src/test/java/gradehub/node/SidecarWithPeers.java
@@ -1,5 +1,6 @@
 package gradehub.node;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
@@ -32,6 +33,23 @@
         return new SidecarWithPeers(fixture, upstream, discovery, process);
     }
 
+    /** Starts all of them with these limits; the upstream answers {@link SidecarProcess#LARGE} requests with large bodies. */
+    static SidecarWithPeers startWithLimits(Path folder, int memoryMb, int sockets)
+            throws IOException, InterruptedException {
+        SidecarFixture fixture = new SidecarFixture();
+        StubServer upstream = StubServer.answering(request -> SidecarFixture.answer(
+                "200 OK",
+                request.startLine().contains(SidecarProcess.LARGE)
+                        ? "b".repeat(DemandingPeer.BODY_BYTES)
+                        : request.header("X-Txn")));
+        StubServer discovery = StubServer.discovery(SidecarFixture.listOf(upstream.address()));
+        ObjectNode config = fixture.config(null).put("discovery", discovery.address());
+        config.withObject("/limits").put("memory_mb", memoryMb).put("sockets", sockets);
+        SidecarProcess process = SidecarProcess.start(folder, config, Map.of());
+        process.awaitReady();
+        return new SidecarWithPeers(fixture, upstream, discovery, process);
+    }
+
     SidecarProcess process() {
         return process;
     }
