--- a/sidecar/src/main/java/gradehub/node/Config.java
+++ b/sidecar/src/main/java/gradehub/node/Config.java
@@ -31,6 +31,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     private static final String FILE_VARIABLE = "BALANCER_CONFIG";
+    /** The same as in the start script. */
     private static final int DEFAULT_MEMORY_MB = 192;
 
     /** Why a configuration was rejected. */
@@ -175,8 +176,9 @@
 
     private static int memoryMb(JsonNode root) throws InvalidConfigException {
         int memoryMb = root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB);
-        if (memoryMb <= 0) {
-            throw new InvalidConfigException("limits.memory_mb: must be positive");
+        if (memoryMb < ProcessMemory.MIN_LIMIT_MB) {
+            throw new InvalidConfigException("limits.memory_mb: must be at least " + ProcessMemory.MIN_LIMIT_MB
+                    + ", since the Java virtual machine does not fit into less");
         }
         return memoryMb;
     }
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -84,6 +84,7 @@
             StartRetry retry = new StartRetry();
             Config config = retry.runUntilSuccess("reading the configuration", () -> Config.loadForStart(environment));
             Sidecar sidecar = retry.runUntilSuccess("opening the event loop", () -> createForStart(config));
+            LOG.log(System.Logger.Level.INFO, ProcessMemory.describe(config.memoryMb()));
             signal.onSignal(() -> sidecar.reload(environment));
             Warmup.run(); // discovery answers meanwhile
             System.gc(); // otherwise the first collection while serving copies all objects left over from startup
