Count what connections hold: incomplete heads, undecoded input, each connection

Told of the least limit, a sidecar ended for lack of heap beside 400 peers (1,024 descriptors): the budget of messages counted bodies and whole heads, but not a head that is being received (up to 12.7 KB on the heap), nor input that is not decoded yet (12.3 KB with a long field, 16 KB and more while requests wait), nor the connections themselves (3.6 KB each when idle). The budget was a fraction of the heap, whatever the number of descriptors.

Change: ProcessMemory divides the heap: 8 MB for the process itself, six tenths of the rest for connections (7 KB each, at most half; fewer sockets where that does not suffice) and messages, the remainder for garbage. HeaderLimit reserves each header before it is stored, RequestDecoder the buffer it has not decoded, BodyCollector 1 KB for each message beside its headers and body. Reads are short while memory is scarce. A request for which there is none gets 503 and event=request-refused-for-memory; the last line of the log has the peak.

ConnectionMemoryTest compares the heap with what is counted for 200 connections of seven kinds: it fails when a thing of a few KB goes uncounted, and failed here once for pipelined requests (8.0 KB beyond what was counted), before the 1 KB of each message. Limits of less than 96 MB are now errors (24 MB of heap).

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -36,7 +36,7 @@
 
 # What the process holds beside its heap; the sidecar rejects a limit that leaves too little for the heap.
 non_heap_mb=70
-min_heap_mb=16
+min_heap_mb=24
 # More would not be used: no list and no number of connections that the platform has needs it.
 max_heap_mb=96
 # The platform prices what a process holds above nine tenths of its limit.
--- a/sidecar/src/main/java/gradehub/node/BodyCollector.java
+++ b/sidecar/src/main/java/gradehub/node/BodyCollector.java
@@ -21,8 +21,8 @@
 final class BodyCollector extends ChannelInboundHandlerAdapter {
 
     private static final byte[] EMPTY = {};
-    /** Estimate of the memory that a header takes besides its characters. */
-    private static final int HEADER_OVERHEAD_BYTES = 150;
+    /** Estimate of the memory that a message takes besides its headers and its body, with the state of its request. */
+    private static final int MESSAGE_OVERHEAD_BYTES = 1024;
 
     private final MemoryBudget budget;
     private final int maxBytes;
@@ -74,10 +74,10 @@
     }
 
     private static long headBytes(HttpHeaders headers) {
-        long bytes = 0;
+        long bytes = MESSAGE_OVERHEAD_BYTES;
         for (Iterator<Map.Entry<CharSequence, CharSequence>> all = headers.iteratorCharSequence(); all.hasNext(); ) {
             Map.Entry<CharSequence, CharSequence> header = all.next();
-            bytes += HEADER_OVERHEAD_BYTES
+            bytes += HeaderLimit.HEADER_OVERHEAD_BYTES
                     + header.getKey().length()
                     + header.getValue().length();
         }
--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -56,7 +56,7 @@
     private final ReadAheadChannel channel;
     private final ClientServer server;
     private final BodyCollector body;
-    private final RequestDecoder decoder = new RequestDecoder(this);
+    private final RequestDecoder decoder;
     private final UnreadTime unreadTime;
     private final ArrayDeque<PendingAnswer> pending = new ArrayDeque<>();
     /** When the connection became idle, or 0 while it is not. */
@@ -90,6 +90,7 @@
         this.channel = channel;
         this.server = server;
         this.body = body;
+        decoder = new RequestDecoder(this, server.memory());
         unreadTime = new UnreadTime(channel.waitingSinceMs());
     }
 
@@ -206,6 +207,13 @@
         }
     }
 
+    @Override
+    public void memoryExhausted() {
+        if (!discarding) {
+            reject(new HeaderLimit.NoMemoryException());
+        }
+    }
+
     @Override
     public boolean isPaused() {
         return openRequests() >= MAX_OPEN_REQUESTS || requestsAtOnce >= MAX_REQUESTS_AT_ONCE;
@@ -261,6 +269,7 @@
             next.answer(response(
                     server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]));
         } else if (body.isDropped()) {
+            server.recordNoMemory(message);
             next.answer(Answer.refused(0));
         } else {
             submit(message, next);
@@ -306,7 +315,7 @@
         PendingAnswer last = new PendingAnswer(false);
         pending.add(last);
         HttpResponseStatus status = RequestValidator.status(cause);
-        server.recordIncomplete(status);
+        server.recordIncomplete(cause, status);
         last.answer(response(status, new byte[0]));
     }
 
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -201,19 +201,29 @@
         return request;
     }
 
+    /** Records that a request is refused because there was no memory for its body. */
+    void recordNoMemory(FullHttpRequest message) {
+        recordRejected(RequestLog.Event.NO_MEMORY, knownId(message), HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     /** Records why a request that was decoded is answered with an error instead of being submitted. */
     void recordRejected(FullHttpRequest message, RejectedException reason) {
         RequestLog.Event event = RequestLog.Event.REJECTED;
         if (reason instanceof RequestIds.IdentifierInUseException inUse) {
             event = inUse.open ? RequestLog.Event.IDENTIFIER_OPEN : RequestLog.Event.IDENTIFIER_USED;
         }
+        recordRejected(event, knownId(message), reason.status);
+    }
+
+    private static String knownId(FullHttpRequest message) {
         String id = message.headers().get(ClientRequest.ID);
-        recordRejected(event, ClientRequest.isId(id) ? id : UNKNOWN_ID, reason.status);
+        return ClientRequest.isId(id) ? id : UNKNOWN_ID;
     }
 
-    /** Records that a request which could not be decoded, or did not arrive in time, is answered with this error. */
-    void recordIncomplete(HttpResponseStatus status) {
-        recordRejected(RequestLog.Event.REJECTED, UNKNOWN_ID, status);
+    /** Records that a request which was not received whole is answered with this error, for this reason. */
+    void recordIncomplete(Throwable cause, HttpResponseStatus status) {
+        boolean noMemory = cause instanceof HeaderLimit.NoMemoryException;
+        recordRejected(noMemory ? RequestLog.Event.NO_MEMORY : RequestLog.Event.REJECTED, UNKNOWN_ID, status);
     }
 
     private void recordRejected(RequestLog.Event event, String id, HttpResponseStatus status) {
--- a/sidecar/src/main/java/gradehub/node/MemoryBudget.java
+++ b/sidecar/src/main/java/gradehub/node/MemoryBudget.java
@@ -6,21 +6,24 @@
  */
 final class MemoryBudget {
 
-    /** Fraction of the process's memory limit that messages may hold. */
-    private static final double MEMORY_FRACTION = 0.2;
-    /** Fraction of the heap that messages may hold; the rest is for everything else and for garbage. */
-    private static final double HEAP_FRACTION = 0.4;
-
-    private static final int BYTES_PER_MB = 1 << 20;
-    /** A message up to this size is always admitted, so that long messages do not crowd out the short ones. */
-    private static final int ALWAYS_ADMITTED_BYTES = 4096;
+    /** Fraction that long messages may use; the rest is for short ones, which are not crowded out then. */
+    private static final double LONG_MESSAGES_FRACTION = 0.75;
+    /** Limit of a short message. */
+    private static final int SHORT_MESSAGE_BYTES = 4096;
+    /** Fraction from which on reads are short: the input of an incomplete message is held as it was read. */
+    private static final double SCARCE_FRACTION = 0.5;
 
+    /** The limit of all messages. */
+    private final long totalBytes;
+    /** The limit for long messages. */
     private final long limitBytes;
+
     private long usedBytes;
+    private long peakBytes;
 
-    MemoryBudget(int memoryMb) {
-        double heapBytes = HEAP_FRACTION * Runtime.getRuntime().maxMemory();
-        limitBytes = (long) Math.min(MEMORY_FRACTION * memoryMb * BYTES_PER_MB, heapBytes);
+    MemoryBudget(long totalBytes) {
+        this.totalBytes = totalBytes;
+        limitBytes = (long) (LONG_MESSAGES_FRACTION * totalBytes);
     }
 
     long limitBytes() {
@@ -31,6 +34,16 @@
         return usedBytes;
     }
 
+    /** Returns the most that messages have held together so far. */
+    long peakBytes() {
+        return peakBytes;
+    }
+
+    /** Whether so much is used that connections should not read far ahead of what they can process. */
+    boolean isScarce() {
+        return usedBytes > SCARCE_FRACTION * totalBytes;
+    }
+
     Reservation reservation() {
         return new Reservation();
     }
@@ -41,7 +54,8 @@
 
         /** Reserves more memory unless that would exceed the budget; returns whether it did. */
         boolean tryGrow(long moreBytes) {
-            boolean admitted = usedBytes + moreBytes <= limitBytes || bytes + moreBytes <= ALWAYS_ADMITTED_BYTES;
+            boolean isShort = bytes + moreBytes <= SHORT_MESSAGE_BYTES;
+            boolean admitted = usedBytes + moreBytes <= (isShort ? totalBytes : limitBytes);
             if (admitted) {
                 grow(moreBytes);
             }
@@ -52,6 +66,18 @@
         void grow(long moreBytes) {
             bytes += moreBytes;
             usedBytes += moreBytes;
+            peakBytes = Math.max(peakBytes, usedBytes);
+        }
+
+        /** Sets what is reserved for a buffer that exists; returns whether the budget has room for it. */
+        boolean resize(long newBytes) {
+            grow(newBytes - bytes);
+            return usedBytes <= totalBytes;
+        }
+
+        /** Returns the budget that this memory counts in. */
+        MemoryBudget budget() {
+            return MemoryBudget.this;
         }
 
         /** Releases the memory; has no effect the second time. */
--- a/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
+++ b/sidecar/src/main/java/gradehub/node/ReadAheadChannel.java
@@ -53,7 +53,7 @@
     ReadAheadChannel() {
         buffer = new ReadAheadBuffer(null);
         waitingSinceMs = 0;
-        configure(false);
+        configure(null);
     }
 
     /**
@@ -64,12 +64,12 @@
         super(parent, accepted);
         buffer = new ReadAheadBuffer(memory);
         this.waitingSinceMs = waitingSinceMs;
-        configure(true);
+        configure(memory.budget());
     }
 
-    private void configure(boolean accepted) {
+    private void configure(MemoryBudget memory) {
         config().setAllocator(HeapAllocator.INSTANCE);
-        config().setRecvByteBufAllocator(new ShortReads(this, accepted));
+        config().setRecvByteBufAllocator(new ShortReads(this, memory));
     }
 
     /** Returns the earliest time at which the peer may have connected, or 0 if it has not waited to be accepted. */
--- a/sidecar/src/main/java/gradehub/node/RequestDecoder.java
+++ b/sidecar/src/main/java/gradehub/node/RequestDecoder.java
@@ -20,6 +20,9 @@
 
         void requestIncomplete();
 
+        /** Called after a read that leaves an incomplete request for which there is no memory. */
+        void memoryExhausted();
+
         /** Whether the connection reads no more requests, so that input is dropped without being decoded. */
         boolean isDiscarding();
 
@@ -28,12 +31,17 @@
     }
 
     private final Input input;
-    private final HeaderLimit headers = new HeaderLimit();
+    private final HeaderLimit headers;
+    /** The memory of the input that is not decoded yet, because it is incomplete or held. */
+    private final MemoryBudget.Reservation undecoded;
+
     private boolean holding;
 
-    RequestDecoder(Input input) {
+    RequestDecoder(Input input, MemoryBudget memory) {
         super(new HttpDecoderConfig().setStrictLineParsing(true));
         this.input = input;
+        headers = new HeaderLimit(memory.reservation());
+        undecoded = memory.reservation();
     }
 
     @Override
@@ -50,7 +58,7 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        headers.add();
+        headers.add(line.length);
         return super.splitHeaderName(line, start, length);
     }
 
@@ -70,21 +78,36 @@
         holding = input.isPaused();
         if (!holding) {
             super.decode(context, buffer, out);
+            if (!out.isEmpty() && out.get(0) instanceof HttpMessage) {
+                headers.release(); // the next handler counts the whole head
+            }
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        boolean fits =
+                undecoded.resize(actualReadableBytes() > 0 ? internalBuffer().capacity() : 0);
         if (isHolding()) {
             context.fireChannelReadComplete(); // the superclass would read more, as nothing has been decoded
             return;
         }
         if (actualReadableBytes() > 0) {
             input.requestIncomplete();
+            if (!fits) {
+                input.memoryExhausted();
+            }
         }
         super.channelReadComplete(context);
     }
 
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+        headers.release();
+        undecoded.release();
+        super.handlerRemoved0(context);
+    }
+
     /** One of the two lengths is wrong, and a peer that trusts it would read the rest of the body as a request. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
--- a/sidecar/src/main/java/gradehub/node/RequestLog.java
+++ b/sidecar/src/main/java/gradehub/node/RequestLog.java
@@ -17,6 +17,7 @@
         COPIED("second-copy"),
         IDENTIFIER_OPEN("rejected-identifier-open"),
         IDENTIFIER_USED("rejected-identifier-may-have-run"),
+        NO_MEMORY("refused-for-memory"),
         REJECTED("rejected-as-invalid");
 
         private final String label;
--- a/sidecar/src/main/java/gradehub/node/RequestValidator.java
+++ b/sidecar/src/main/java/gradehub/node/RequestValidator.java
@@ -93,6 +93,9 @@
         if (cause instanceof RejectedException rejected) {
             return rejected.status;
         }
+        if (cause instanceof HeaderLimit.NoMemoryException) {
+            return HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
         if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
--- a/sidecar/src/main/java/gradehub/node/ShortReads.java
+++ b/sidecar/src/main/java/gradehub/node/ShortReads.java
@@ -16,6 +16,9 @@
 
     static final int MAX_READ_BYTES = 16 * 1024;
 
+    /** Limit of a read while memory is scarce. */
+    private static final int SCARCE_MEMORY_READ_BYTES = 2 * 1024;
+
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
 
@@ -23,12 +26,13 @@
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1);
 
     private final Channel channel;
-    private final boolean accepted;
+    /** The budget of what the channel reads, or null for a channel that the sidecar has opened. */
+    private final MemoryBudget memory;
 
-    /** Creates the allocator of one channel; {@code accepted} says that the peer has opened it. */
-    ShortReads(Channel channel, boolean accepted) {
+    /** Creates the allocator of one channel, with a budget if its peer has opened it. */
+    ShortReads(Channel channel, MemoryBudget memory) {
         this.channel = channel;
-        this.accepted = accepted;
+        this.memory = memory;
     }
 
     @Override
@@ -47,7 +51,11 @@
 
         @Override
         public int guess() {
-            return accepted ? Math.min(super.guess(), budget.nextReadBytes()) : super.guess();
+            if (memory == null) {
+                return super.guess();
+            }
+            int maxBytes = memory.isScarce() ? SCARCE_MEMORY_READ_BYTES : MAX_READ_BYTES;
+            return Math.min(Math.min(super.guess(), maxBytes), budget.nextReadBytes());
         }
 
         @Override
@@ -57,7 +65,7 @@
 
         @Override
         public void lastBytesRead(int bytes) {
-            if (accepted && bytes > 0) {
+            if (memory != null && bytes > 0) {
                 budget.recordRead(bytes, (SingleThreadEventLoop) channel.eventLoop());
             }
             super.lastBytesRead(bytes);
--- a/sidecar/src/main/java/gradehub/node/Sidecar.java
+++ b/sidecar/src/main/java/gradehub/node/Sidecar.java
@@ -60,8 +60,9 @@
     private Sidecar(EventLoop loop, Config config, Supplier<ReadAheadChannel> channelFactory) {
         this.loop = loop;
         settings = config.settings();
-        SocketBudget sockets = new SocketBudget(config.sockets());
-        memory = new MemoryBudget(config.memoryMb());
+        int maxSockets = ProcessMemory.maxSockets(config.memoryMb(), config.sockets());
+        SocketBudget sockets = new SocketBudget(maxSockets);
+        memory = new MemoryBudget(ProcessMemory.messageBytes(config.memoryMb(), maxSockets));
         engine = new Engine(
                 loop,
                 clock,
@@ -84,7 +85,7 @@
             StartRetry retry = new StartRetry();
             Config config = retry.runUntilSuccess("reading the configuration", () -> Config.loadForStart(environment));
             Sidecar sidecar = retry.runUntilSuccess("opening the event loop", () -> createForStart(config));
-            LOG.log(System.Logger.Level.INFO, ProcessMemory.describe(config.memoryMb()));
+            LOG.log(System.Logger.Level.INFO, ProcessMemory.describe(config.memoryMb(), config.sockets()));
             signal.onSignal(() -> sidecar.reload(environment));
             Warmup.run(); // discovery answers meanwhile
             System.gc(); // otherwise the first collection while serving copies all objects left over from startup
@@ -210,6 +211,7 @@
         try {
             stop();
             LOG.log(System.Logger.Level.INFO, engine.requestLog().totals());
+            LOG.log(System.Logger.Level.INFO, "event=message-memory peak-bytes=" + memory.peakBytes());
             LOG.log(System.Logger.Level.INFO, "stopped");
             log.flush(LOG_FLUSH_MS);
         } catch (InterruptedException e) {
--- a/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
+++ b/sidecar/src/main/java/gradehub/node/UpstreamConnection.java
@@ -57,7 +57,7 @@
     final Upstreams.Pool pool;
     private final Upstreams upstreams;
     private final ReadAheadChannel channel;
-    private final AnswerDecoder decoder = new AnswerDecoder();
+    private final AnswerDecoder decoder;
     private final BodyCollector body;
     private Attempt attempt;
     private boolean retired;
@@ -74,6 +74,7 @@
         this.upstreams = upstreams;
         this.pool = pool;
         this.channel = channel;
+        this.decoder = new AnswerDecoder(upstreams.memory());
         this.body = new BodyCollector(upstreams.memory(), Upstreams.MAX_BODY_BYTES);
     }
 
