Leave room for compiled code, and at the least limit for all connections

Two ceilings of the first fix were too low. 30 s beside demanding peers, told of 144 MB: 7,206 KB of the 8 MB for compiled code had been used, and a full code cache stops the compiler; now 12 MB, and 72 MB beside the heap in all. Without its class archive the process ended for lack of class space at 16 MB; it uses 20,526 KB, so the ceiling is 24 MB (the archive's 15.8 MB are not mapped then).

Told of 96 MB with 1,024 descriptors, connections had half of their memory, for 702 sockets, so that 409 peers kept ordinary clients waiting: 156 of 165 served in 12 s, 134 of 149 without the archive.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -35,7 +35,7 @@
 fi
 
 # What the process holds beside its heap; the sidecar rejects a limit that leaves too little for the heap.
-non_heap_mb=70
+non_heap_mb=72
 min_heap_mb=24
 # More would not be used: no list and no number of connections that the platform has needs it.
 max_heap_mb=96
@@ -48,6 +48,6 @@
 export MALLOC_ARENA_MAX=1
 
 exec java -XX:SharedArchiveFile=sidecar/target/gradehub.jsa -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto \
-    -Xms$((heap_mb / 2))m -Xmx${heap_mb}m -Xmn$((heap_mb / 4))m -XX:MaxMetaspaceSize=16m \
-    -XX:ReservedCodeCacheSize=8m -XX:MaxDirectMemorySize=2m -Xss512k -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
+    -Xms$((heap_mb / 2))m -Xmx${heap_mb}m -Xmn$((heap_mb / 4))m -XX:MaxMetaspaceSize=24m \
+    -XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=1m -Xss512k -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
     -jar sidecar/target/gradehub.jar serve
--- a/sidecar/src/main/java/gradehub/node/ProcessMemory.java
+++ b/sidecar/src/main/java/gradehub/node/ProcessMemory.java
@@ -10,7 +10,7 @@
     static final int MIN_LIMIT_MB = 96;
 
     /** Classes, code, stacks, direct buffers and what the JVM and the C library hold themselves. */
-    private static final int NON_HEAP_MB = 70;
+    private static final int NON_HEAP_MB = 72;
 
     private static final int MIN_HEAP_MB = 24;
     private static final int MAX_HEAP_MB = 96;
@@ -23,8 +23,8 @@
     private static final double LIVE_FRACTION = 0.6;
     /** What an open connection keeps on the heap besides its messages. */
     static final int CONNECTION_BYTES = 7 * 1024;
-    /** Fraction that connections may hold, so that messages have the other. */
-    private static final double MAX_CONNECTIONS_FRACTION = 0.5;
+    /** Fraction that connections may hold; messages have the rest. */
+    private static final double MAX_CONNECTIONS_FRACTION = 0.75;
 
     private static final int BYTES_PER_KB = 1 << 10;
     private static final int BYTES_PER_MB = 1 << 20;
