--- a/sidecar/src/main/java/gradehub/node/ProcessMemory.java
+++ b/sidecar/src/main/java/gradehub/node/ProcessMemory.java
@@ -37,6 +37,11 @@
         return Math.min(Math.max(heapMb, MIN_HEAP_MB), MAX_HEAP_MB);
     }
 
+    /** Returns the most that the process holds under this limit: the sum of the ceilings of all its parts. */
+    static int ceilingMb(int limitMb) {
+        return heapMb(limitMb) + NON_HEAP_MB;
+    }
+
     /** Returns the number of sockets for which there is memory, at most that of the descriptors. */
     static int maxSockets(int limitMb, int descriptors) {
         return (int) Math.min(descriptors, MAX_CONNECTIONS_FRACTION * liveBytes(limitMb) / CONNECTION_BYTES);
--- a/sidecar/src/test/java/gradehub/node/ProcessMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/ProcessMemoryTest.java
@@ -22,6 +22,11 @@
     private static final Path ROOT = Path.of("..").toAbsolutePath();
     private static final Pattern HEAP_OPTION = Pattern.compile("-Xmx(\\d+)m");
     private static final int DEFAULT_LIMIT_MB = 192;
+    private static final int MAX_LIMIT_MB = 4096;
+    /** More than nine tenths of the limit are priced; under a smaller limit than this the process needs them. */
+    private static final double MAX_UNPRICED_FRACTION = 0.9;
+
+    private static final int MIN_UNPRICED_LIMIT_MB = 107;
     private static final int LARGE_LIST_MEMBERS = 4096;
     /** Far more than the script takes, and far less than matching patterns on a long line takes. */
     private static final long MAX_SCRIPT_MS = 20_000;
@@ -51,6 +56,17 @@
                 + ",\"sockets\":1024},\"settings\":{}}";
     }
 
+    /** Guards against report 405e31: the ceilings came to more than the limit. */
+    @Test
+    void ceilingsKeepToEachLimit() {
+        for (int limitMb = ProcessMemory.MIN_LIMIT_MB; limitMb <= MAX_LIMIT_MB; limitMb++) {
+            int ceilingMb = ProcessMemory.ceilingMb(limitMb);
+            assertTrue(ceilingMb <= limitMb, limitMb + " MB");
+            assertTrue(
+                    limitMb < MIN_UNPRICED_LIMIT_MB || ceilingMb <= MAX_UNPRICED_FRACTION * limitMb, limitMb + " MB");
+        }
+    }
+
     /** Guards against report 405e31: the heap was the same for each limit, and larger than the least one allows. */
     @ParameterizedTest
     @ValueSource(ints = {ProcessMemory.MIN_LIMIT_MB, 104, 128, 144, 192, 2048})
