Refuse stalled requests when memory runs out, before the requests of others

Cause: the budget refuses whoever comes last, while requests that have stalled keep their memory for up to 2.2 s.

Change: once three quarters of the memory for long messages are used, the check of client connections, every 50 ms, refuses requests of which nothing has come for 250 ms, least recently used connections first, with 503 and event=request-refused-for-memory. Nothing of such a request has been forwarded.

MessageMemoryTest.stalledRequestMakesRoomForOthers: 503 (408 after 2.2 s without the change). The test now reports large requests too.

--- a/sidecar/src/main/java/gradehub/node/ClientConnection.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnection.java
@@ -34,6 +34,8 @@
     private static final double DELIVERY_TIMEOUT_MS = 200;
     /** When sockets run out, an incomplete request may be refused this long after its first byte. */
     private static final double MIN_RECEIVE_MS = 250;
+    /** When memory runs out, an incomplete request may be refused when nothing of it has come for this long. */
+    private static final double STALLED_MS = 250;
     /** When sockets run short, a connection may be closed after being idle for this long. */
     private static final double IDLE_TIMEOUT_MS = 2000;
     /** Time limit for the client to read an answer. */
@@ -63,6 +65,8 @@
     private double idleSinceMs;
     /** When the request being received began (for the first one, when the client connected), or 0 if there is none. */
     private double receivingSinceMs;
+    /** When input last came. */
+    private double receivedMs;
     /** When the pending writes last made progress, or 0 if there are none. */
     private double writingSinceMs;
     /** When the output was shut down, or 0 before that. */
@@ -184,6 +188,7 @@
     @Override
     public void received(int bytes) {
         nothingReceived = false;
+        receivedMs = server.nowMs();
         unreadTime.received(bytes);
         requestIncomplete();
         if (drainingSinceMs > 0) {
@@ -412,12 +417,7 @@
      * may be waiting to be accepted, and nothing of this request has been forwarded.
      */
     boolean refuseIncomplete(double nowMs) {
-        boolean canRefuse = hasNoWork()
-                && !discarding
-                && !nothingReceived
-                && receivingSinceMs > 0
-                && nowMs - receivingSinceMs > MIN_RECEIVE_MS
-                && channel.isOpenWithoutInput();
+        boolean canRefuse = nowMs - receivingSinceMs > MIN_RECEIVE_MS && isReceiving();
         if (canRefuse) {
             reject(new RejectedException(
                     HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections send incomplete requests"));
@@ -425,6 +425,18 @@
         return canRefuse;
     }
 
+    /** Refuses the request that is being received if nothing of it has come for a while, which frees its memory. */
+    void refuseStalled(double nowMs) {
+        if (nowMs - receivedMs > STALLED_MS && isReceiving()) {
+            reject(new HeaderLimit.NoMemoryException());
+        }
+    }
+
+    /** Whether a request has begun to come, and all of it that has come is read. */
+    private boolean isReceiving() {
+        return hasNoWork() && !discarding && !nothingReceived && receivingSinceMs > 0 && channel.isOpenWithoutInput();
+    }
+
     /** Whether the connection is closing or sends its last answer, so that its socket will be free soon. */
     boolean isEnding() {
         return discarding;
--- a/sidecar/src/main/java/gradehub/node/ClientConnections.java
+++ b/sidecar/src/main/java/gradehub/node/ClientConnections.java
@@ -18,12 +18,14 @@
 
     private final Clock clock;
     private final SocketBudget sockets;
+    private final MemoryBudget memory;
     /** Least recently used first. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-    ClientConnections(Clock clock, SocketBudget sockets) {
+    ClientConnections(Clock clock, SocketBudget sockets, MemoryBudget memory) {
         this.clock = clock;
         this.sockets = sockets;
+        this.memory = memory;
     }
 
     void opened(ClientConnection connection) {
@@ -67,6 +69,19 @@
         double nowMs = clock.nowMs();
         all().forEach(connection -> connection.closeIfOverdue(nowMs));
         freeSockets();
+        freeMemory(nowMs);
+    }
+
+    /** Refuses requests that have stalled while they are received, when what they hold leaves no memory for others. */
+    private void freeMemory(double nowMs) {
+        if (!memory.isNearlyUsedUp()) {
+            return;
+        }
+        for (ClientConnection connection : all()) {
+            if (memory.isNearlyUsedUp()) {
+                connection.refuseStalled(nowMs);
+            }
+        }
     }
 
     /** Closes the oldest connection of a client that has sent nothing; returns whether there was one. */
--- a/sidecar/src/main/java/gradehub/node/ClientServer.java
+++ b/sidecar/src/main/java/gradehub/node/ClientServer.java
@@ -57,7 +57,7 @@
         this.memory = memory;
         this.hasUpstreamList = hasUpstreamList;
         lag = new EventLoopLag(loop, clock);
-        connections = new ClientConnections(clock, sockets);
+        connections = new ClientConnections(clock, sockets, memory);
         sockets.onChange(this::updateAccepting);
         loop.scheduleWithFixedDelay(
                 () -> GuardedTask.run("checking client connections", this::checkConnections),
--- a/sidecar/src/main/java/gradehub/node/HeaderLimit.java
+++ b/sidecar/src/main/java/gradehub/node/HeaderLimit.java
@@ -9,13 +9,13 @@
  */
 final class HeaderLimit {
 
-    /** Thrown where the budget has no memory for a head. */
+    /** Thrown where the budget has no memory for a request that is being received. */
     static final class NoMemoryException extends RuntimeException {
 
         private static final long serialVersionUID = 1L;
 
         NoMemoryException() {
-            super("there is no memory for the head");
+            super("there is no memory for the request");
         }
     }
 
--- a/sidecar/src/main/java/gradehub/node/MemoryBudget.java
+++ b/sidecar/src/main/java/gradehub/node/MemoryBudget.java
@@ -12,6 +12,8 @@
     private static final int SHORT_MESSAGE_BYTES = 4096;
     /** Fraction from which on reads are short: the input of an incomplete message is held as it was read. */
     private static final double SCARCE_FRACTION = 0.5;
+    /** Fraction of the limit for long messages from which on those that have stalled make room. */
+    private static final double NEARLY_USED_UP_FRACTION = 0.75;
 
     /** The limit of all messages. */
     private final long totalBytes;
@@ -44,6 +46,11 @@
         return usedBytes > SCARCE_FRACTION * totalBytes;
     }
 
+    /** Whether long messages will soon find no memory. */
+    boolean isNearlyUsedUp() {
+        return usedBytes > NEARLY_USED_UP_FRACTION * limitBytes;
+    }
+
     Reservation reservation() {
         return new Reservation();
     }
--- a/sidecar/src/test/java/gradehub/node/MemoryLimitIT.java
+++ b/sidecar/src/test/java/gradehub/node/MemoryLimitIT.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +30,7 @@
     private static final int DRAINING = Integer.getInteger("memory.draining", 4096);
 
     private static final int ORDINARY_CLIENTS = 4;
+    private static final String LARGE_BODY = "b".repeat(DemandingPeer.BODY_BYTES);
     private static final int ORDINARY_PAUSE_MS = 20;
     private static final int ORDINARY_REMAINING_MS = 1600;
     private static final int LOST_AFTER_MS = ORDINARY_REMAINING_MS + 550;
@@ -43,10 +45,25 @@
 
     private final AtomicInteger ids = new AtomicInteger();
     private final AtomicBoolean stopped = new AtomicBoolean();
-    private final AtomicInteger asked = new AtomicInteger();
-    private final AtomicInteger served = new AtomicInteger();
+    private final Tally small = new Tally();
+    private final Tally large = new Tally();
     private final List<Thread> threads = new ArrayList<>();
 
+    /** What ordinary clients have asked and been served. */
+    private static final class Tally {
+        private final AtomicInteger asked = new AtomicInteger();
+        private final AtomicInteger served = new AtomicInteger();
+
+        boolean isEnough() {
+            return served.get() >= MIN_SERVED_FRACTION * asked.get();
+        }
+
+        @Override
+        public String toString() {
+            return served + " of " + asked;
+        }
+    }
+
     private String nextId() {
         return SidecarFixture.requestId(ids.incrementAndGet());
     }
@@ -65,14 +82,21 @@
         }
     }
 
-    /** Asks on new connections and on a kept one in turn. */
-    private void askUntilStopped(SidecarProcess sidecar) {
+    private String smallRequest() {
+        return SidecarFixture.getRequest(nextId(), ORDINARY_REMAINING_MS);
+    }
+
+    private String largeRequest() {
+        return SidecarFixture.postRequest(nextId(), LARGE_BODY);
+    }
+
+    private void askUntilStopped(SidecarProcess sidecar, Supplier<String> requests, Tally tally) {
         while (!stopped.get()) {
-            asked.incrementAndGet();
+            tally.asked.incrementAndGet();
             try (RawConnection client = sidecar.client()) {
                 client.setReadTimeoutMs(LOST_AFTER_MS);
-                client.send(SidecarFixture.getRequest(nextId(), ORDINARY_REMAINING_MS));
-                served.addAndGet(client.read().status() == 200 ? 1 : 0);
+                client.send(requests.get());
+                tally.served.addAndGet(client.read().status() == 200 ? 1 : 0);
                 TimeUnit.MILLISECONDS.sleep(ORDINARY_PAUSE_MS);
             } catch (IOException e) {
                 // Not served.
@@ -99,24 +123,25 @@
                 start(new DemandingPeer(sidecar, shapes.get(i % shapes.size()), this::nextId, stopped));
             }
             for (int i = 0; i < ORDINARY_CLIENTS; i++) {
-                start(() -> askUntilStopped(sidecar));
+                start(() -> askUntilStopped(sidecar, this::smallRequest, small));
+                start(() -> askUntilStopped(sidecar, this::largeRequest, large));
             }
             TimeUnit.MILLISECONDS.sleep(PLAY_MS);
             stopAll();
             assertTrue(sidecar.process().isAlive(), "the process ended: " + sidecar.log());
             String figures = String.format(
-                    "%d MB, %d descriptors, %s: peak %d KB (%d when ready), served %d of %d, processor time %d ms",
+                    "%d MB, %d descriptors, %s: peak %d KB (%d when ready), served %s, large %s, processor time %d ms",
                     memoryMb,
                     sockets,
                     shapes,
                     sidecar.peakMemoryKb(),
                     readyKb,
-                    served.get(),
-                    asked.get(),
+                    small,
+                    large,
                     sidecar.process().info().totalCpuDuration().orElseThrow().toMillis());
             System.out.println(figures);
             assertTrue(sidecar.peakMemoryKb() <= ProcessMemory.ceilingMb(memoryMb) * KB_PER_MB, figures);
-            assertTrue(served.get() >= MIN_SERVED_FRACTION * asked.get(), figures);
+            assertTrue(small.isEnough(), figures);
         }
     }
 
--- a/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
+++ b/sidecar/src/test/java/gradehub/node/MessageMemoryTest.java
@@ -86,6 +86,26 @@
         fixture.awaitOnEventLoop(() -> memory().usedBytes() == 0);
     }
 
+    /** Guards against long requests that are refused for as long as stalled ones hold the memory. */
+    @Test
+    void stalledRequestMakesRoomForOthers() throws Exception {
+        MemoryBudget.Reservation others = memory().reservation();
+        fixture.sidecar()
+                .loop()
+                .submit(() -> others.grow(memory().limitBytes() - 2 * LONG_BODY_BYTES))
+                .get();
+        try (RawConnection stalled = fixture.client();
+                RawConnection client = fixture.client()) {
+            String request = SidecarFixture.postRequest(SidecarFixture.requestId(1), LONG_BODY);
+            stalled.send(request.substring(0, request.length() - 1));
+            assertEquals(503, stalled.read().status(), "not 408, after the time limit of requests");
+            assertEquals(1, fixture.countOf(RequestLog.Event.NO_MEMORY));
+            client.send(SidecarFixture.postRequest(SidecarFixture.requestId(2), LONG_BODY));
+            assertEquals(LONG_BODY, SidecarFixture.accept(upstream).read().body());
+        }
+        release(others);
+    }
+
     /** Guards against answers that are limited on each connection to an upstream, but not in sum. */
     @Test
     void longAnswerBeyondTheBudgetIsAFailedAttempt() throws Exception {
